--- /dev/null
+++ b/balance/wl-balancer.c
@@ -0,0 +1,222 @@
+#include "wl.h"
+
+enum
+{
+  COUNTER_FORWARDED,
+  COUNTER_NO_SERVICE,
+  COUNTER_NO_ENDPOINT,
+  COUNTER_MALFORMED,
+  COUNTER_FRAGMENT,
+  COUNTER_UNSUPPORTED,
+  COUNTER_CONFIG_OLDER,
+  N_COUNTERS,
+};
+
+static const WbCounterDef counter_definitions[N_COUNTERS] = {
+  { "balancer_forwarded", "Packets forwarded to an agent." },
+  { "balancer_no_service", "Packets dropped because no service has their destination." },
+  { "balancer_no_endpoint", "Packets dropped because the service has no endpoint." },
+  { "balancer_malformed", "Packets dropped because they do not parse." },
+  { "balancer_fragment", "IP fragments dropped." },
+  { "balancer_unsupported", "Packets of other protocols dropped." },
+  { "balancer_config_older", "Configurations ignored because a newer one is in effect." },
+};
+
+/* The endpoints of one service: ids apart from addresses, because ranking reads only the ids. */
+typedef struct
+{
+  GArray *ids;
+  GArray *endpoints;
+} ServiceEndpoints;
+
+struct WlBalancer
+{
+  guint64 self_id;
+  WlCallbacks callbacks;
+  WcConfig *config;
+  GHashTable *services; /* service id to ServiceEndpoints */
+  GByteArray *datagram;
+  WbCounters *counters;
+};
+
+static void
+service_endpoints_free (gpointer data)
+{
+  ServiceEndpoints *service = data;
+
+  g_array_unref (service->ids);
+  g_array_unref (service->endpoints);
+  g_free (service);
+}
+
+WlBalancer *
+wl_balancer_new (guint64 self_id, const WlCallbacks *callbacks)
+{
+  WlBalancer *balancer = g_new0 (WlBalancer, 1);
+
+  balancer->self_id = self_id;
+  balancer->callbacks = *callbacks;
+  balancer->services =
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, service_endpoints_free);
+  balancer->datagram = g_byte_array_sized_new (WW_PACKET_MAX + WW_ENCAP_LENGTH);
+  balancer->counters = wb_counters_new (counter_definitions, N_COUNTERS);
+  return balancer;
+}
+
+void
+wl_balancer_free (WlBalancer *balancer)
+{
+  if (balancer == NULL)
+    return;
+  wc_config_unref (balancer->config);
+  g_hash_table_unref (balancer->services);
+  g_byte_array_unref (balancer->datagram);
+  wb_counters_free (balancer->counters);
+  g_free (balancer);
+}
+
+void
+wl_balancer_set_config (WlBalancer *balancer, WcConfig *config)
+{
+  if (balancer->config != NULL && config->version < balancer->config->version)
+    {
+      wb_counters_add (balancer->counters, COUNTER_CONFIG_OLDER, 1);
+      return;
+    }
+  wc_config_ref (config);
+  wc_config_unref (balancer->config);
+  balancer->config = config;
+}
+
+static ServiceEndpoints *
+ensure_service (WlBalancer *balancer, guint64 service_id)
+{
+  ServiceEndpoints *service = g_hash_table_lookup (balancer->services, &service_id);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (ServiceEndpoints, 1);
+  service->ids = g_array_new (FALSE, FALSE, sizeof (guint64));
+  service->endpoints = g_array_new (FALSE, FALSE, sizeof (WlEndpoint));
+  g_hash_table_insert (balancer->services, g_memdup2 (&service_id, sizeof service_id), service);
+  return service;
+}
+
+static guint
+count_lost (const ServiceEndpoints *service)
+{
+  guint lost = 0;
+  guint i;
+
+  for (i = 0; i < service->endpoints->len; i++)
+    if (g_array_index (service->endpoints, WlEndpoint, i).lost)
+      lost++;
+  return lost;
+}
+
+/* When most endpoints seem to have failed at once, the fault is more likely in the view than in the
+ * endpoints. */
+static void
+drop_lost (ServiceEndpoints *service)
+{
+  guint i;
+
+  if (count_lost (service) * 2 <= service->endpoints->len)
+    for (i = service->endpoints->len; i > 0; i--)
+      if (g_array_index (service->endpoints, WlEndpoint, i - 1).lost)
+        g_array_remove_index (service->endpoints, i - 1);
+  for (i = 0; i < service->endpoints->len; i++)
+    g_array_append_val (service->ids, g_array_index (service->endpoints, WlEndpoint, i).id);
+}
+
+void
+wl_balancer_set_endpoints (WlBalancer *balancer, const WlEndpoint *endpoints, guint count)
+{
+  GHashTableIter iter;
+  gpointer service;
+  guint i;
+
+  g_hash_table_remove_all (balancer->services);
+  for (i = 0; i < count; i++)
+    g_array_append_val (ensure_service (balancer, endpoints[i].service_id)->endpoints,
+                        endpoints[i]);
+  g_hash_table_iter_init (&iter, balancer->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    drop_lost (service);
+}
+
+static gboolean
+count_unusable (WlBalancer *balancer, WwPacketStatus status)
+{
+  switch (status)
+    {
+    case WW_PACKET_OK:
+    case WW_PACKET_ICMP_ERROR:
+      return FALSE;
+    case WW_PACKET_FRAGMENT:
+      wb_counters_add (balancer->counters, COUNTER_FRAGMENT, 1);
+      return TRUE;
+    case WW_PACKET_UNSUPPORTED:
+      wb_counters_add (balancer->counters, COUNTER_UNSUPPORTED, 1);
+      return TRUE;
+    case WW_PACKET_MALFORMED:
+    default:
+      wb_counters_add (balancer->counters, COUNTER_MALFORMED, 1);
+      return TRUE;
+    }
+}
+
+static void
+forward (WlBalancer *balancer, const WlEndpoint *home, const guint8 *packet, gsize length)
+{
+  ww_encap header = {
+    .kind = WW_ENCAP_FORWARD,
+    .hops = 1,
+    .service_id = home->service_id,
+    .config_version = balancer->config->version,
+    .home_id = home->id,
+    .sender_id = balancer->self_id,
+  };
+
+  g_byte_array_set_size (balancer->datagram, 0);
+  ww_encap_append (balancer->datagram, &header, packet, length);
+  balancer->callbacks.to_agent (balancer->callbacks.context, home->address, home->data_port,
+                                balancer->datagram->data, balancer->datagram->len);
+  wb_counters_add (balancer->counters, COUNTER_FORWARDED, 1);
+}
+
+void
+wl_balancer_packet (WlBalancer *balancer, const guint8 *packet, gsize length)
+{
+  const WcService *service = NULL;
+  const ServiceEndpoints *candidates;
+  WwPacket parsed;
+  WwFlowKey key;
+  guint home;
+
+  if (count_unusable (balancer, ww_packet_parse (packet, length, &parsed)))
+    return;
+  key = ww_packet_key_from_client (&parsed);
+  if (balancer->config != NULL)
+    service = wc_config_find_service (balancer->config, key.service_address, key.service_port,
+                                      (guint16) key.protocol);
+  if (service == NULL)
+    {
+      wb_counters_add (balancer->counters, COUNTER_NO_SERVICE, 1);
+      return;
+    }
+  candidates = g_hash_table_lookup (balancer->services, &service->id);
+  if (candidates == NULL || candidates->ids->len == 0)
+    {
+      wb_counters_add (balancer->counters, COUNTER_NO_ENDPOINT, 1);
+      return;
+    }
+  home = ww_rank_first (&key, (const guint64 *) candidates->ids->data, candidates->ids->len);
+  forward (balancer, &g_array_index (candidates->endpoints, WlEndpoint, home), packet, length);
+}
+
+const WbCounters *
+wl_balancer_counters (const WlBalancer *balancer)
+{
+  return balancer->counters;
+}
--- /dev/null
+++ b/base/wb-histogram.c
@@ -0,0 +1,113 @@
+#include "wb-histogram.h"
+
+#include <math.h>
+
+#define SUB_BUCKET_BITS 4
+#define SUB_BUCKETS (1 << SUB_BUCKET_BITS)
+#define N_BUCKETS ((64 - SUB_BUCKET_BITS + 1) * SUB_BUCKETS)
+
+struct WbHistogram
+{
+  guint64 count;
+  gdouble sum;
+  gint64 max;
+  guint64 buckets[N_BUCKETS];
+};
+
+WbHistogram *
+wb_histogram_new (void)
+{
+  return g_new0 (WbHistogram, 1);
+}
+
+void
+wb_histogram_free (WbHistogram *histogram)
+{
+  g_free (histogram);
+}
+
+static guint
+bucket_of (guint64 value)
+{
+  guint exponent;
+
+  if (value < SUB_BUCKETS)
+    return (guint) value;
+  exponent = 63 - (guint) __builtin_clzll (value);
+  return (exponent - SUB_BUCKET_BITS + 1) * SUB_BUCKETS +
+         (guint) ((value >> (exponent - SUB_BUCKET_BITS)) & (SUB_BUCKETS - 1));
+}
+
+static gint64
+upper_bound (guint bucket)
+{
+  guint exponent;
+  guint64 base;
+
+  if (bucket < SUB_BUCKETS)
+    return bucket;
+  exponent = bucket / SUB_BUCKETS - 1;
+  base = (guint64) (SUB_BUCKETS + bucket % SUB_BUCKETS);
+  return (gint64) (((base + 1) << exponent) - 1);
+}
+
+void
+wb_histogram_record (WbHistogram *histogram, gint64 value)
+{
+  guint64 clamped = value < 0 ? 0 : (guint64) value;
+
+  histogram->buckets[bucket_of (clamped)]++;
+  histogram->count++;
+  histogram->sum += (gdouble) clamped;
+  histogram->max = MAX (histogram->max, (gint64) clamped);
+}
+
+void
+wb_histogram_merge (WbHistogram *histogram, const WbHistogram *other)
+{
+  guint i;
+
+  for (i = 0; i < N_BUCKETS; i++)
+    histogram->buckets[i] += other->buckets[i];
+  histogram->count += other->count;
+  histogram->sum += other->sum;
+  histogram->max = MAX (histogram->max, other->max);
+}
+
+guint64
+wb_histogram_count (const WbHistogram *histogram)
+{
+  return histogram->count;
+}
+
+gdouble
+wb_histogram_mean (const WbHistogram *histogram)
+{
+  return histogram->count == 0 ? 0.0 : histogram->sum / (gdouble) histogram->count;
+}
+
+gint64
+wb_histogram_max (const WbHistogram *histogram)
+{
+  return histogram->max;
+}
+
+gint64
+wb_histogram_quantile (const WbHistogram *histogram, gdouble quantile)
+{
+  guint64 rank;
+  guint64 seen = 0;
+  guint i;
+
+  if (histogram->count == 0)
+    return 0;
+  rank = (guint64) ceil (CLAMP (quantile, 0.0, 1.0) * (gdouble) histogram->count);
+  rank = MAX (rank, 1);
+  for (i = 0; i < N_BUCKETS; i++)
+    {
+      seen += histogram->buckets[i];
+      if (seen >= rank)
+        return MIN (upper_bound (i), histogram->max);
+    }
+  return histogram->max;
+}
--- /dev/null
+++ b/base/wb-histogram.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "wb.h"
+
+/**
+ * struct WbHistogram - log-linear histogram of non-negative integers
+ *
+ * Values are kept with a relative error of at most 1/16; 976 buckets cover the whole range of 64
+ * bits.
+ */
+typedef struct WbHistogram WbHistogram;
+
+WbHistogram *wb_histogram_new (void);
+void wb_histogram_free (WbHistogram *histogram);
+
+/** wb_histogram_record() - counts one value; a negative one counts as 0 */
+void wb_histogram_record (WbHistogram *histogram, gint64 value);
+
+/** wb_histogram_merge() - adds the counts of @other */
+void wb_histogram_merge (WbHistogram *histogram, const WbHistogram *other);
+
+guint64 wb_histogram_count (const WbHistogram *histogram);
+gdouble wb_histogram_mean (const WbHistogram *histogram);
+gint64 wb_histogram_max (const WbHistogram *histogram);
+
+/**
+ * wb_histogram_quantile() - upper bound of the bucket that holds the quantile
+ * @quantile: between 0 and 1
+ *
+ * Return: the value, never above the largest one recorded; 0 for an empty histogram
+ */
+gint64 wb_histogram_quantile (const WbHistogram *histogram, gdouble quantile);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (WbHistogram, wb_histogram_free)
--- /dev/null
+++ b/config/wc.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "wb.h"
+
+/**
+ * DOC: The operators' configuration, validated and immutable.
+ *
+ * Addresses and ports are in host byte order; times are microseconds.
+ */
+
+/**
+ * enum WcClass - class of the work that a service port carries
+ * @WC_CLASS_MIXED: not known beforehand
+ */
+typedef enum
+{
+  WC_CLASS_SHORT,
+  WC_CLASS_LONG,
+  WC_CLASS_MIXED,
+  WC_N_CLASSES,
+} WcClass;
+
+/** wc_class_name() - "short", "long" or "mixed" */
+const gchar *wc_class_name (WcClass class);
+
+typedef struct
+{
+  guint16 port;
+  guint16 protocol; /* WW_PROTOCOL_TCP or WW_PROTOCOL_UDP */
+  WcClass class;
+} WcPort;
+
+/**
+ * struct WcService - one service
+ * @id: wb_name_id() of @name
+ * @address: destination address that clients use
+ * @slots: requests that one endpoint serves at a time
+ * @reserve_short: slots per endpoint reserved for the short class; less than @slots
+ * @queue_limit: most entries that wait at one endpoint
+ * @deadline_us: longest wait of a request before it is refused
+ * @turn_quiet_us: silence of the server after which a response counts as complete
+ * @open_reserve_us: time for which a delivered initial packet reserves a slot
+ * @idle_timeout_us: idle time after which a TCP flow is probed and a UDP flow ends
+ * @cold_start_us: time after a backend server's start in which it counts as having half its slots
+ * @refusal_text: sent to refused clients; {retry_after} stands for a number of seconds
+ */
+typedef struct
+{
+  gchar *name;
+  guint64 id;
+  guint32 address;
+  GArray *ports; /* of WcPort */
+  guint slots;
+  guint reserve_short;
+  guint queue_limit;
+  gint64 deadline_us;
+  gint64 turn_quiet_us;
+  gint64 open_reserve_us;
+  gint64 idle_timeout_us;
+  gint64 cold_start_us;
+  gchar *refusal_text;
+} WcService;
+
+typedef struct
+{
+  guint32 address;
+  guint prefix_length;
+} WcPrefix;
+
+/**
+ * struct WcTenant - a customer whose clients share one fairness share
+ * @sources: client addresses
+ */
+typedef struct
+{
+  gchar *name;
+  guint64 id;
+  guint weight;
+  GArray *sources; /* of WcPrefix */
+} WcTenant;
+
+/** Index of the tenant of clients that no tenant's sources contain. */
+#define WC_TENANT_OTHER 0
+
+/**
+ * struct WcConfig - a whole configuration
+ * @version: version of the root object; 0 for files that have not been applied
+ * @digest: first 8 bytes of the SHA-256 of the list of part hashes
+ * @tenants: the first one, "other", is implicit and has weight 1
+ * @zones: names of the availability zones
+ * @drain_hosts: names of hosts whose endpoints take no new flows
+ */
+typedef struct
+{
+  gatomicrefcount references;
+  guint64 version;
+  guint64 digest;
+  GPtrArray *services; /* of WcService */
+  GPtrArray *tenants;  /* of WcTenant */
+  GPtrArray *zones;    /* of gchar */
+  GPtrArray *drain_hosts;
+  GHashTable *by_port; /* private */
+} WcConfig;
+
+/** wc_config_new() - an empty configuration with the tenant "other" */
+WcConfig *wc_config_new (void);
+WcConfig *wc_config_ref (WcConfig *config);
+void wc_config_unref (WcConfig *config);
+
+/** wc_service_new() - a service with the default limits, to be added with wc_config_add_service()
+ */
+WcService *wc_service_new (const gchar *name, guint32 address);
+void wc_service_add_port (WcService *service, guint16 port, guint16 protocol, WcClass class);
+
+/** wc_config_add_service() - adds a service; takes @service */
+void wc_config_add_service (WcConfig *config, WcService *service);
+
+/** wc_config_add_tenant() - adds a tenant with one source prefix */
+void wc_config_add_tenant (
+    WcConfig *config, const gchar *name, guint weight, guint32 address, guint prefix_length);
+
+/** wc_config_find_service() - the service of a destination, or NULL */
+const WcService *
+wc_config_find_service (const WcConfig *config, guint32 address, guint16 port, guint16 protocol);
+
+/** wc_config_service_by_id() - the service, or NULL */
+const WcService *wc_config_service_by_id (const WcConfig *config, guint64 id);
+
+/** wc_config_find_tenant() - index into @tenants for a client's address */
+guint wc_config_find_tenant (const WcConfig *config, guint32 client_address);
+
+/** wc_config_host_drains() - whether @host_id, a wb_name_id(), is to be drained */
+gboolean wc_config_host_drains (const WcConfig *config, guint64 host_id);
+
+/** wc_service_find_port() - the port, or NULL */
+const WcPort *wc_service_find_port (const WcService *service, guint16 port, guint16 protocol);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcConfig, wc_config_unref)
--- /dev/null
+++ b/member/wm.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "wb-counter.h"
+#include "wc.h"
+#include "ww-message.h"
+
+/**
+ * DOC: Membership by gossip, and dissemination of the configuration.
+ */
+
+/** Flags of struct ww_member. */
+#define WM_MEMBER_DRAINING 0x1
+
+/**
+ * struct WmSettings - what a node says of itself
+ * @service_id: 0 for a balancer
+ * @zone, @host: low 32 bits of the wb_name_id() of the names
+ */
+typedef struct
+{
+  guint64 id;
+  guint64 service_id;
+  guint32 address;
+  guint16 control_port;
+  guint16 data_port;
+  guint32 zone;
+  guint32 host;
+  ww_role role;
+} WmSettings;
+
+/**
+ * struct WmCallbacks - output of the membership core
+ * @send: sends a control datagram
+ * @members_changed: a member joined, left, was suspected, declared dead, refuted or changed its
+ * flags
+ * @config_complete: all parts of a newer configuration are here; the callee parses it and calls
+ *   wm_node_set_config() when it takes it into effect
+ */
+typedef struct
+{
+  gpointer context;
+  void (*send) (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length);
+  void (*members_changed) (gpointer context);
+  void (*config_complete) (gpointer context, guint64 version, GBytes *root, GHashTable *parts);
+} WmCallbacks;
+
+typedef struct WmNode WmNode;
+
+WmNode *
+wm_node_new (const WmSettings *settings, const WmCallbacks *callbacks, guint32 seed, gint64 now_us);
+void wm_node_free (WmNode *node);
+
+/** wm_node_add_contact() - a control address to join through */
+void wm_node_add_contact (WmNode *node, guint32 address, guint16 port);
+
+/**
+ * wm_node_receive() - a control datagram
+ *
+ * Return: FALSE when the message is not of membership or configuration and the caller has to handle
+ * it
+ */
+gboolean wm_node_receive (
+    WmNode *node, guint32 address, guint16 port, const guint8 *data, gsize length, gint64 now_us);
+void wm_node_tick (WmNode *node, gint64 now_us);
+gint64 wm_node_next_us (const WmNode *node);
+
+/** wm_node_set_draining() - announces that the own endpoint takes no new flows */
+void wm_node_set_draining (WmNode *node, gboolean draining, gint64 now_us);
+
+/** wm_node_resumed() - the process was paused: raises the incarnation and pings the peers */
+void wm_node_resumed (WmNode *node, gint64 now_us);
+
+/** wm_node_leave() - announces a planned stop to some members at once */
+void wm_node_leave (WmNode *node, gint64 now_us);
+
+/** wm_node_members() - (transfer container): array of struct ww_member, the own one included, dead
+ * ones left out */
+GArray *wm_node_members (const WmNode *node);
+
+/** wm_node_endpoints() - (transfer container): members that are endpoints of a service and not dead
+ */
+GArray *wm_node_endpoints (const WmNode *node, guint64 service_id);
+
+/** wm_node_is_member() - whether a known member uses this address (R4) */
+gboolean wm_node_is_member (const WmNode *node, guint32 address);
+
+/** wm_node_zone_lost() - whether evidence says that the whole availability zone is unreachable */
+gboolean wm_node_zone_lost (const WmNode *node, guint32 zone);
+
+/** wm_node_is_watcher() - whether this node is one of the few that watch the platform */
+gboolean wm_node_is_watcher (const WmNode *node);
+
+/** wm_node_count() - members in a state */
+guint wm_node_count (const WmNode *node, ww_member_state state);
+
+/**
+ * wm_node_offer_config() - hands over a whole configuration, from the platform
+ * @root: the root object as stored
+ * @parts: hash (hexadecimal string) to GBytes
+ *
+ * An older version than the one known is ignored (R5).
+ */
+void wm_node_offer_config (
+    WmNode *node, guint64 version, GBytes *root, GHashTable *parts, gint64 now_us);
+
+/** wm_node_set_config() - the version in effect, which every message announces */
+void wm_node_set_config (WmNode *node, guint64 version, guint64 digest);
+guint64 wm_node_config_version (const WmNode *node);
+
+const WbCounters *wm_node_counters (const WmNode *node);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (WmNode, wm_node_free)
--- /dev/null
+++ b/wire/ww-flow-key.c
@@ -0,0 +1,109 @@
+#include "ww-flow-key.h"
+
+#include <string.h>
+
+guint
+ww_flow_key_hash (gconstpointer key)
+{
+  return (guint) wb_hash64 (key, sizeof (WwFlowKey), 0);
+}
+
+gboolean
+ww_flow_key_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, sizeof (WwFlowKey)) == 0;
+}
+
+ww_flow
+ww_flow_key_to_wire (const WwFlowKey *key)
+{
+  ww_flow flow = {
+    .client_address = key->client_address,
+    .service_address = key->service_address,
+    .ports = ((guint32) key->client_port << 16) | key->service_port,
+    .protocol = key->protocol,
+  };
+
+  return flow;
+}
+
+WwFlowKey
+ww_flow_key_from_wire (const ww_flow *flow)
+{
+  WwFlowKey key = {
+    .client_address = flow->client_address,
+    .service_address = flow->service_address,
+    .client_port = (guint16) (flow->ports >> 16),
+    .service_port = (guint16) (flow->ports & 0xffff),
+    .protocol = flow->protocol,
+  };
+
+  return key;
+}
+
+/* Mixes the flow's hash with the endpoint id; one multiplication round is enough because both are
+ * hashes already. */
+static guint64
+weight_of (guint64 flow_hash, guint64 id)
+{
+  guint64 mixed = flow_hash ^ id;
+
+  mixed ^= mixed >> 33;
+  mixed *= G_GUINT64_CONSTANT (0xff51afd7ed558ccd);
+  mixed ^= mixed >> 33;
+  mixed *= G_GUINT64_CONSTANT (0xc4ceb9fe1a85ec53);
+  mixed ^= mixed >> 33;
+  return mixed;
+}
+
+/* Ties are broken by id, so that every node ranks alike whatever the order of its table. */
+static gboolean
+ranks_before (guint64 weight_a, guint64 id_a, guint64 weight_b, guint64 id_b)
+{
+  if (weight_a != weight_b)
+    return weight_a > weight_b;
+  return id_a > id_b;
+}
+
+void
+ww_rank_endpoints (const WwFlowKey *key, const guint64 *ids, guint count, guint16 *order)
+{
+  guint64 flow_hash = wb_hash64 (key, sizeof *key, 0);
+  guint i, j;
+
+  /* Insertion sort: services have few endpoints (under three on average, tens at most). */
+  for (i = 0; i < count; i++)
+    {
+      guint64 weight = weight_of (flow_hash, ids[i]);
+
+      for (j = i; j > 0; j--)
+        {
+          guint64 other = ids[order[j - 1]];
+
+          if (!ranks_before (weight, ids[i], weight_of (flow_hash, other), other))
+            break;
+          order[j] = order[j - 1];
+        }
+      order[j] = (guint16) i;
+    }
+}
+
+guint
+ww_rank_first (const WwFlowKey *key, const guint64 *ids, guint count)
+{
+  guint64 flow_hash = wb_hash64 (key, sizeof *key, 0);
+  guint64 best_weight = weight_of (flow_hash, ids[0]);
+  guint best = 0;
+  guint i;
+
+  for (i = 1; i < count; i++)
+    {
+      guint64 weight = weight_of (flow_hash, ids[i]);
+
+      if (!ranks_before (weight, ids[i], best_weight, ids[best]))
+        continue;
+      best = i;
+      best_weight = weight;
+    }
+  return best;
+}
--- /dev/null
+++ b/wire/ww-message.c
@@ -0,0 +1,246 @@
+#include "ww-message.h"
+
+#include <rpc/rpc.h>
+#include <string.h>
+
+/* An RPC call header with empty credentials takes 40 bytes, a reply header 24. */
+#define REPLY_HEADER_LENGTH 24
+
+G_DEFINE_QUARK (ww - error - quark, ww_error)
+
+static gboolean
+encode_xdr (xdrproc_t encoder, gpointer value, guint8 *buffer, gsize size, gsize *length)
+{
+  XDR xdr;
+  gboolean ok;
+
+  xdrmem_create (&xdr, (char *) buffer, (guint) size, XDR_ENCODE);
+  ok = encoder (&xdr, value);
+  *length = xdr_getpos (&xdr);
+  xdr_destroy (&xdr);
+  return ok;
+}
+
+static gboolean
+decode_xdr (xdrproc_t decoder, gpointer value, const guint8 *data, gsize length, gsize *used)
+{
+  XDR xdr;
+  gboolean ok;
+
+  xdrmem_create (&xdr, (char *) data, (guint) length, XDR_DECODE);
+  ok = decoder (&xdr, value);
+  *used = xdr_getpos (&xdr);
+  xdr_destroy (&xdr);
+  return ok;
+}
+
+void
+ww_encap_append (GByteArray *out, const ww_encap *header, const guint8 *packet, gsize packet_length)
+{
+  guint8 buffer[WW_ENCAP_LENGTH];
+  ww_encap copy = *header;
+  gsize length;
+  gboolean ok;
+
+  copy.magic = WW_ENCAP_MAGIC;
+  ok = encode_xdr ((xdrproc_t) xdr_ww_encap, &copy, buffer, sizeof buffer, &length);
+  g_assert (ok && length == WW_ENCAP_LENGTH);
+  g_byte_array_append (out, buffer, (guint) length);
+  g_byte_array_append (out, packet, (guint) packet_length);
+}
+
+gboolean
+ww_encap_parse (
+    const guint8 *data, gsize length, ww_encap *header, const guint8 **packet, gsize *packet_length)
+{
+  gsize used;
+
+  memset (header, 0, sizeof *header);
+  if (length <= WW_ENCAP_LENGTH || ww_datagram_magic (data, length) != WW_ENCAP_MAGIC)
+    return FALSE;
+  if (!decode_xdr ((xdrproc_t) xdr_ww_encap, header, data, WW_ENCAP_LENGTH, &used))
+    return FALSE;
+  if (header->kind < WW_ENCAP_FORWARD || header->kind > WW_ENCAP_RETURN)
+    return FALSE;
+  *packet = data + WW_ENCAP_LENGTH;
+  *packet_length = length - WW_ENCAP_LENGTH;
+  return TRUE;
+}
+
+guint32
+ww_datagram_magic (const guint8 *data, gsize length)
+{
+  if (length < 4)
+    return 0;
+  return ((guint32) data[0] << 24) | ((guint32) data[1] << 16) | ((guint32) data[2] << 8) | data[3];
+}
+
+gboolean
+ww_peer_encode (const ww_peer *message, GByteArray *out)
+{
+  guint8 buffer[WW_DATAGRAM_MAX];
+  ww_peer copy = *message;
+  gsize length;
+
+  copy.magic = WW_PEER_MAGIC;
+  if (!encode_xdr ((xdrproc_t) xdr_ww_peer, &copy, buffer, sizeof buffer, &length))
+    return FALSE;
+  g_byte_array_append (out, buffer, (guint) length);
+  return TRUE;
+}
+
+gboolean
+ww_peer_decode (const guint8 *data, gsize length, ww_peer *message)
+{
+  gsize used;
+
+  memset (message, 0, sizeof *message);
+  if (ww_datagram_magic (data, length) != WW_PEER_MAGIC)
+    return FALSE;
+  if (decode_xdr ((xdrproc_t) xdr_ww_peer, message, data, length, &used) && used == length)
+    return TRUE;
+  ww_peer_clear (message);
+  return FALSE;
+}
+
+void
+ww_peer_clear (ww_peer *message)
+{
+  xdr_free ((xdrproc_t) xdr_ww_peer, (char *) message);
+  memset (message, 0, sizeof *message);
+}
+
+static gboolean
+encode_call_header (XDR *xdr, const WwCall *call)
+{
+  struct rpc_msg header;
+
+  memset (&header, 0, sizeof header);
+  header.rm_xid = call->xid;
+  header.rm_direction = CALL;
+  header.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  header.rm_call.cb_prog = WW_PROGRAM;
+  header.rm_call.cb_vers = WW_VERSION;
+  header.rm_call.cb_proc = call->procedure;
+  return xdr_callmsg (xdr, &header);
+}
+
+static gboolean
+encode_reply_header (XDR *xdr, const WwCall *call)
+{
+  struct rpc_msg header;
+
+  memset (&header, 0, sizeof header);
+  header.rm_xid = call->xid;
+  header.rm_direction = REPLY;
+  header.rm_reply.rp_stat = MSG_ACCEPTED;
+  header.acpted_rply.ar_stat = SUCCESS;
+  header.acpted_rply.ar_results.where = NULL;
+  header.acpted_rply.ar_results.proc = (xdrproc_t) xdr_void;
+  return xdr_replymsg (xdr, &header);
+}
+
+GByteArray *
+ww_call_encode (const WwCall *call, xdrproc_t encoder, gpointer body, GError **error)
+{
+  guint8 buffer[WW_DATAGRAM_MAX];
+  XDR xdr;
+  gboolean ok;
+  guint length;
+
+  xdrmem_create (&xdr, (char *) buffer, sizeof buffer, XDR_ENCODE);
+  ok = call->is_reply ? encode_reply_header (&xdr, call) : encode_call_header (&xdr, call);
+  if (ok && encoder != NULL)
+    ok = encoder (&xdr, body);
+  length = xdr_getpos (&xdr);
+  xdr_destroy (&xdr);
+  if (!ok)
+    {
+      g_set_error (error, WW_ERROR, WW_ERROR_TOO_LARGE,
+                   "message of procedure %u does not fit %u bytes", (guint) call->procedure,
+                   WW_DATAGRAM_MAX);
+      return NULL;
+    }
+  return g_byte_array_append (g_byte_array_sized_new (length), buffer, length);
+}
+
+static gboolean
+decode_call_header (XDR *xdr, WwCall *call)
+{
+  struct rpc_msg header;
+  gboolean ok;
+
+  memset (&header, 0, sizeof header);
+  ok = xdr_callmsg (xdr, &header) && header.rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+       header.rm_call.cb_prog == WW_PROGRAM && header.rm_call.cb_vers == WW_VERSION;
+  call->procedure = (ww_procedure) header.rm_call.cb_proc;
+  g_clear_pointer (&header.rm_call.cb_cred.oa_base, free);
+  g_clear_pointer (&header.rm_call.cb_verf.oa_base, free);
+  return ok;
+}
+
+static gboolean
+decode_reply_header (XDR *xdr, WwCall *call)
+{
+  struct rpc_msg header;
+  gboolean ok;
+
+  memset (&header, 0, sizeof header);
+  header.acpted_rply.ar_results.proc = (xdrproc_t) xdr_void;
+  ok = xdr_replymsg (xdr, &header) && header.rm_reply.rp_stat == MSG_ACCEPTED &&
+       header.acpted_rply.ar_stat == SUCCESS;
+  if (header.rm_reply.rp_stat == MSG_ACCEPTED)
+    g_clear_pointer (&header.acpted_rply.ar_verf.oa_base, free);
+  call->procedure = WW_PROC_NULL;
+  return ok;
+}
+
+gboolean
+ww_call_decode (const guint8 *data,
+                gsize length,
+                WwCall *call,
+                const guint8 **body,
+                gsize *body_length,
+                GError **error)
+{
+  XDR xdr;
+  guint position;
+  gboolean ok = FALSE;
+
+  if (length >= REPLY_HEADER_LENGTH)
+    {
+      call->xid = ww_datagram_magic (data, length);
+      call->is_reply = ww_datagram_magic (data + 4, length - 4) == REPLY;
+      xdrmem_create (&xdr, (char *) data, (guint) length, XDR_DECODE);
+      ok = call->is_reply ? decode_reply_header (&xdr, call) : decode_call_header (&xdr, call);
+      position = xdr_getpos (&xdr);
+      xdr_destroy (&xdr);
+    }
+  if (!ok)
+    {
+      g_set_error_literal (error, WW_ERROR, WW_ERROR_MALFORMED,
+                           "not an RPC message of this program");
+      return FALSE;
+    }
+  *body = data + position;
+  *body_length = length - position;
+  return TRUE;
+}
+
+gboolean
+ww_body_decode (const guint8 *body, gsize length, xdrproc_t decoder, gpointer value, GError **error)
+{
+  gsize used;
+
+  if (decode_xdr (decoder, value, body, length, &used) && used == length)
+    return TRUE;
+  ww_body_clear (decoder, value);
+  g_set_error_literal (error, WW_ERROR, WW_ERROR_MALFORMED, "message body does not decode");
+  return FALSE;
+}
+
+void
+ww_body_clear (xdrproc_t decoder, gpointer value)
+{
+  xdr_free (decoder, value);
+}
--- /dev/null
+++ b/wire/ww-message.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "wb.h"
+
+#include "ww-proto.h"
+
+/**
+ * enum WwError - errors of the wire package
+ * @WW_ERROR_MALFORMED: a message from the network does not decode
+ * @WW_ERROR_TOO_LARGE: a message does not fit its buffer
+ * @WW_ERROR_SOCKET: a socket could not be opened or bound
+ * @WW_ERROR_DEVICE: a TUN device could not be attached
+ */
+typedef enum
+{
+  WW_ERROR_MALFORMED,
+  WW_ERROR_TOO_LARGE,
+  WW_ERROR_SOCKET,
+  WW_ERROR_DEVICE,
+} WwError;
+
+#define WW_ERROR (ww_error_quark ())
+GQuark ww_error_quark (void);
+
+/** Largest control or peer datagram in bytes: below the smallest common path MTU. */
+#define WW_DATAGRAM_MAX 1200
+
+/** Encoded length of struct ww_encap in bytes. */
+#define WW_ENCAP_LENGTH 44
+
+/** Most hops that a data packet takes between members. */
+#define WW_MAX_HOPS 16
+
+/**
+ * ww_encap_append() - appends an encapsulation header and an IP packet to @out
+ */
+void ww_encap_append (GByteArray *out,
+                      const ww_encap *header,
+                      const guint8 *packet,
+                      gsize packet_length);
+
+/**
+ * ww_encap_parse() - reads an encapsulated datagram
+ * @packet: (out): the IP packet inside @data
+ *
+ * Return: FALSE when the datagram is no valid encapsulation
+ */
+gboolean ww_encap_parse (const guint8 *data,
+                         gsize length,
+                         ww_encap *header,
+                         const guint8 **packet,
+                         gsize *packet_length);
+
+/** ww_datagram_magic() - the first word of a datagram on the data address, or 0 when it is too
+ * short */
+guint32 ww_datagram_magic (const guint8 *data, gsize length);
+
+/**
+ * ww_peer_encode() - appends a peer message to @out
+ *
+ * Return: FALSE when it does not fit WW_DATAGRAM_MAX
+ */
+gboolean ww_peer_encode (const ww_peer *message, GByteArray *out);
+
+/**
+ * ww_peer_decode() - reads a peer message
+ *
+ * On success the caller owns @message and calls ww_peer_clear().
+ */
+gboolean ww_peer_decode (const guint8 *data, gsize length, ww_peer *message);
+void ww_peer_clear (ww_peer *message);
+
+/**
+ * struct WwCall - header of a control message
+ * @xid: transaction id; a reply carries that of its call
+ * @is_reply: whether the message is a reply
+ * @procedure: procedure called; 0 in replies
+ */
+typedef struct
+{
+  guint32 xid;
+  gboolean is_reply;
+  ww_procedure procedure;
+} WwCall;
+
+/**
+ * ww_call_encode() - encodes a control message as ONC RPC call or reply
+ * @call: header
+ * @encoder: XDR routine of the body, for example xdr_ww_ping, or NULL for an empty body
+ * @body: the value for @encoder
+ * @error: WW_ERROR_TOO_LARGE
+ */
+GByteArray *ww_call_encode (const WwCall *call, xdrproc_t encoder, gpointer body, GError **error);
+
+/**
+ * ww_call_decode() - reads the header of a control message
+ * @body: (out): where the body begins
+ * @error: WW_ERROR_MALFORMED
+ */
+gboolean ww_call_decode (const guint8 *data,
+                         gsize length,
+                         WwCall *call,
+                         const guint8 **body,
+                         gsize *body_length,
+                         GError **error);
+
+/**
+ * ww_body_decode() - decodes a message body
+ * @decoder: XDR routine
+ * @value: zeroed structure to fill; release it with ww_body_clear()
+ * @error: WW_ERROR_MALFORMED
+ */
+gboolean ww_body_decode (
+    const guint8 *body, gsize length, xdrproc_t decoder, gpointer value, GError **error);
+void ww_body_clear (xdrproc_t decoder, gpointer value);
--- /dev/null
+++ b/wire/ww-proto.x
@@ -0,0 +1,265 @@
+/*
+ * Messages between the processes. wire/ww-proto.h and wire/ww-proto_xdr.c are generated from this file by
+ * scripts/generate-proto and committed.
+ */
+
+const WW_ENCAP_MAGIC = 0x57574531;
+const WW_PEER_MAGIC = 0x57575031;
+const WW_PROGRAM = 0x20575748;
+const WW_VERSION = 1;
+
+const WW_MAX_REGISTER_FLOWS = 48;
+const WW_MAX_GOSSIP_ITEMS = 16;
+const WW_MAX_PARTS = 4096;
+const WW_MAX_CHUNK = 1024;
+const WW_MAX_TEXT = 1024;
+const WW_MAX_MEMBERS = 16;
+const WW_MAX_NAME = 64;
+
+/* Data plane: header in front of an IP packet. */
+
+enum ww_encap_kind {
+  WW_ENCAP_FORWARD = 1,
+  WW_ENCAP_CHAIN = 2,
+  WW_ENCAP_TO_HOLDER = 3,
+  WW_ENCAP_PLACE = 4,
+  WW_ENCAP_GRANT = 5,
+  WW_ENCAP_RETURN = 6
+};
+
+struct ww_encap {
+  unsigned magic;
+  ww_encap_kind kind;
+  unsigned hops;
+  unsigned hyper service_id;
+  unsigned hyper config_version;
+  unsigned hyper home_id;
+  unsigned hyper sender_id;
+};
+
+/* Data plane: messages between the agents of one service. */
+
+struct ww_flow {
+  unsigned client_address;
+  unsigned service_address;
+  unsigned ports;
+  unsigned protocol;
+};
+
+struct ww_flow_entry {
+  ww_flow flow;
+  unsigned flags;
+};
+
+struct ww_occupancy {
+  unsigned slots;
+  unsigned busy;
+  unsigned waiting_short;
+  unsigned waiting_long;
+  unsigned flags;
+};
+
+struct ww_register {
+  unsigned hyper incarnation;
+  ww_flow_entry flows<WW_MAX_REGISTER_FLOWS>;
+};
+
+struct ww_release {
+  ww_flow flow;
+  unsigned hyper holder_id;
+};
+
+struct ww_occupancy_request {
+  unsigned request_id;
+  ww_occupancy occupancy;
+};
+
+struct ww_occupancy_reply {
+  unsigned request_id;
+  ww_occupancy occupancy;
+};
+
+struct ww_offer {
+  ww_occupancy occupancy;
+};
+
+struct ww_pull {
+  unsigned pull_id;
+  unsigned short_only;
+  ww_occupancy occupancy;
+};
+
+enum ww_peer_kind {
+  WW_PEER_REGISTER = 1,
+  WW_PEER_RELEASE = 2,
+  WW_PEER_OCCUPANCY_REQUEST = 3,
+  WW_PEER_OCCUPANCY_REPLY = 4,
+  WW_PEER_OFFER = 5,
+  WW_PEER_PULL = 6,
+  WW_PEER_UNREGISTER = 7
+};
+
+union ww_peer_body switch (ww_peer_kind kind) {
+case WW_PEER_REGISTER:
+case WW_PEER_UNREGISTER:
+  ww_register registration;
+case WW_PEER_RELEASE:
+  ww_release release;
+case WW_PEER_OCCUPANCY_REQUEST:
+  ww_occupancy_request occupancy_request;
+case WW_PEER_OCCUPANCY_REPLY:
+  ww_occupancy_reply occupancy_reply;
+case WW_PEER_OFFER:
+  ww_offer offer;
+case WW_PEER_PULL:
+  ww_pull pull;
+};
+
+struct ww_peer {
+  unsigned magic;
+  unsigned hyper service_id;
+  unsigned hyper sender_id;
+  ww_peer_body body;
+};
+
+/* Control plane: ONC RPC calls of program WW_PROGRAM. */
+
+enum ww_member_state {
+  WW_MEMBER_ALIVE = 0,
+  WW_MEMBER_SUSPECT = 1,
+  WW_MEMBER_DEAD = 2,
+  WW_MEMBER_LEFT = 3
+};
+
+enum ww_role {
+  WW_ROLE_BALANCER = 1,
+  WW_ROLE_AGENT = 2
+};
+
+struct ww_member {
+  unsigned hyper id;
+  unsigned hyper incarnation;
+  unsigned hyper service_id;
+  unsigned address;
+  unsigned ports;
+  unsigned zone;
+  unsigned host;
+  ww_role role;
+  ww_member_state state;
+  unsigned flags;
+};
+
+struct ww_zone_evidence {
+  unsigned zone;
+  unsigned hyper reporter_id;
+  unsigned reporter_zone;
+  unsigned sequence;
+};
+
+enum ww_gossip_kind {
+  WW_GOSSIP_MEMBER = 1,
+  WW_GOSSIP_ZONE = 2
+};
+
+struct ww_gossip_member {
+  ww_member member;
+  unsigned hyper reporter_id;
+};
+
+union ww_gossip_item switch (ww_gossip_kind kind) {
+case WW_GOSSIP_MEMBER:
+  ww_gossip_member member;
+case WW_GOSSIP_ZONE:
+  ww_zone_evidence zone;
+};
+
+struct ww_config_id {
+  unsigned hyper config_version;
+  unsigned hyper digest;
+};
+
+struct ww_gossip {
+  unsigned hyper sender_id;
+  unsigned hyper incarnation;
+  ww_config_id config;
+  ww_gossip_item items<WW_MAX_GOSSIP_ITEMS>;
+};
+
+struct ww_ping {
+  unsigned hyper target_id;
+  ww_gossip gossip;
+};
+
+struct ww_ping_req {
+  unsigned hyper target_id;
+  unsigned address;
+  unsigned port;
+  ww_gossip gossip;
+};
+
+struct ww_ack {
+  unsigned hyper target_id;
+  unsigned hyper target_incarnation;
+  ww_gossip gossip;
+};
+
+struct ww_config_fetch {
+  unsigned hyper sender_id;
+  unsigned hyper config_version;
+  opaque hash[32];
+  unsigned offset;
+};
+
+struct ww_config_chunk {
+  unsigned hyper config_version;
+  opaque hash[32];
+  unsigned offset;
+  unsigned total;
+  opaque data<WW_MAX_CHUNK>;
+};
+
+struct ww_status_reply {
+  string name<WW_MAX_NAME>;
+  unsigned hyper id;
+  ww_role role;
+  unsigned hyper config_version;
+  unsigned members_alive;
+  unsigned members_suspect;
+  unsigned members_dead;
+  unsigned flows_held;
+  unsigned flows_waiting;
+  unsigned draining;
+  unsigned hyper refusals;
+  unsigned hyper uptime_ms;
+};
+
+struct ww_metrics_request {
+  unsigned offset;
+};
+
+struct ww_metrics_reply {
+  unsigned offset;
+  unsigned total;
+  opaque text<WW_MAX_CHUNK>;
+};
+
+struct ww_members_request {
+  unsigned offset;
+};
+
+struct ww_members_reply {
+  unsigned offset;
+  unsigned total;
+  ww_member members<WW_MAX_MEMBERS>;
+};
+
+enum ww_procedure {
+  WW_PROC_NULL = 0,
+  WW_PROC_PING = 1,
+  WW_PROC_PING_REQ = 2,
+  WW_PROC_GOSSIP = 3,
+  WW_PROC_CONFIG_FETCH = 4,
+  WW_PROC_STATUS = 5,
+  WW_PROC_METRICS = 6,
+  WW_PROC_MEMBERS = 7
+};
