--- /dev/null
+++ b/fuzz/fuzz-wire.c
@@ -0,0 +1,46 @@
+#include "ww-message.h"
+#include "ww-packet.h"
+
+#include <string.h>
+
+static void
+try_bodies (const guint8 *body, gsize length)
+{
+  static const xdrproc_t decoders[] = {
+    (xdrproc_t) xdr_ww_ping,          (xdrproc_t) xdr_ww_ping_req,
+    (xdrproc_t) xdr_ww_ack,           (xdrproc_t) xdr_ww_gossip,
+    (xdrproc_t) xdr_ww_config_fetch,  (xdrproc_t) xdr_ww_config_chunk,
+    (xdrproc_t) xdr_ww_status_reply,  (xdrproc_t) xdr_ww_metrics_reply,
+    (xdrproc_t) xdr_ww_members_reply,
+  };
+  guint64 value[512];
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (decoders); i++)
+    {
+      memset (value, 0, sizeof value);
+      if (ww_body_decode (body, length, decoders[i], value, NULL))
+        ww_body_clear (decoders[i], value);
+    }
+}
+
+/* Every parser of bytes from the network: must neither read out of bounds nor leak. */
+int
+LLVMFuzzerTestOneInput (const guint8 *data, gsize length)
+{
+  WwPacket packet;
+  ww_encap encap;
+  ww_peer peer;
+  WwCall call;
+  const guint8 *inner;
+  gsize inner_length;
+
+  ww_packet_parse (data, length, &packet);
+  ww_encap_parse (data, length, &encap, &inner, &inner_length);
+  if (ww_peer_decode (data, length, &peer))
+    ww_peer_clear (&peer);
+  if (ww_call_decode (data, length, &call, &inner, &inner_length, NULL))
+    try_bodies (inner, inner_length);
+  try_bodies (data, length);
+  return 0;
+}
