--- /dev/null
+++ b/config/wc-node.c
@@ -0,0 +1,47 @@
+#include "wc-node.h"
+
+#include <string.h>
+
+G_DEFINE_QUARK (wc - error - quark, wc_error)
+
+WcNode *
+wc_node_new (WcNodeKind kind, const gchar *key, gchar *file, guint line)
+{
+  WcNode *node = g_new0 (WcNode, 1);
+
+  node->kind = kind;
+  node->key = g_strdup (key);
+  node->file = g_ref_string_acquire (file);
+  node->line = line;
+  if (kind == WC_NODE_TABLE || kind == WC_NODE_ARRAY)
+    node->children = g_ptr_array_new_with_free_func ((GDestroyNotify) wc_node_free);
+  return node;
+}
+
+void
+wc_node_free (WcNode *node)
+{
+  if (node == NULL)
+    return;
+  g_free (node->key);
+  g_ref_string_release (node->file);
+  g_free (node->text);
+  if (node->children != NULL)
+    g_ptr_array_unref (node->children);
+  g_free (node);
+}
+
+const WcNode *
+wc_node_find (const WcNode *table, const gchar *key)
+{
+  guint i;
+
+  for (i = 0; i < table->children->len; i++)
+    {
+      const WcNode *child = g_ptr_array_index (table->children, i);
+
+      if (strcmp (child->key, key) == 0)
+        return child;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/config/wc-node.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "wc-error.h"
+
+G_BEGIN_DECLS
+
+/**
+ * DOC: A tree of values with the place that each was read from.
+ *
+ * TOML files and JSON parts are read into the same tree, so that one validation covers both.
+ */
+
+typedef enum
+{
+  WC_NODE_TABLE,
+  WC_NODE_ARRAY,
+  WC_NODE_STRING,
+  WC_NODE_INTEGER,
+  WC_NODE_OTHER,
+} WcNodeKind;
+
+/**
+ * struct WcNode - a value
+ * @key: name in the table that holds it, or NULL
+ * @file: name of the file or part (a GRefString)
+ * @line: line in the file; 0 when unknown
+ * @text: value of a string
+ * @children: of WcNode; values of a table or array
+ */
+typedef struct
+{
+  WcNodeKind kind;
+  gchar *key;
+  gchar *file;
+  guint line;
+  gchar *text;
+  gint64 number;
+  GPtrArray *children;
+} WcNode;
+
+/** wc_node_new() - a value; takes a reference to @file, a GRefString */
+WcNode *wc_node_new (WcNodeKind kind, const gchar *key, gchar *file, guint line);
+void wc_node_free (WcNode *node);
+
+/** wc_node_find() - the value of a key of a table, or NULL */
+const WcNode *wc_node_find (const WcNode *table, const gchar *key);
+
+/**
+ * wc_toml_parse() - reads a TOML document
+ * @file: name used in messages (a GRefString)
+ * @error: WC_ERROR_SYNTAX, with file and line
+ */
+WcNode *wc_toml_parse (gchar *file, const gchar *text, gsize length, GError **error);
+
+/**
+ * wc_json_parse() - reads a JSON document
+ * @file: name used in messages (a GRefString)
+ * @error: WC_ERROR_SYNTAX
+ *
+ * Documents nested deeper than a configuration needs are refused before they are parsed, because
+ * the parser recurses.
+ */
+WcNode *wc_json_parse (gchar *file, const gchar *text, gsize length, GError **error);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcNode, wc_node_free)
+
+G_END_DECLS
--- /dev/null
+++ b/config/wc-reader.c
@@ -0,0 +1,296 @@
+#include "wc-reader.h"
+
+#include "wb.h"
+
+#include <string.h>
+
+/* Bounds the message when a document is wrong throughout. */
+#define MAX_PROBLEMS 100
+#define MAX_NAME_LENGTH 63
+
+static const gchar *const kind_names[] = { "table", "array", "string", "integer", "other value" };
+
+static const struct
+{
+  const gchar *unit;
+  gint64 us;
+} units[] = {
+  { "h", 3600 * WB_US_PER_S },
+  { "m", 60 * WB_US_PER_S },
+  { "s", WB_US_PER_S },
+  { "ms", WB_US_PER_MS },
+  { "us", 1 },
+};
+
+void
+wc_reader_init (WcReader *reader)
+{
+  memset (reader, 0, sizeof *reader);
+  reader->problems = g_ptr_array_new_with_free_func (g_free);
+}
+
+void
+wc_reader_clear (WcReader *reader)
+{
+  g_ptr_array_unref (reader->problems);
+}
+
+static void
+add_problem (WcReader *reader, WcError code, gchar *message)
+{
+  if (reader->count++ == 0)
+    reader->code = code;
+  if (reader->count <= MAX_PROBLEMS)
+    g_ptr_array_add (reader->problems, message);
+  else
+    g_free (message);
+}
+
+void
+wc_reader_problem (
+    WcReader *reader, const WcNode *node, const gchar *key, WcError code, const gchar *format, ...)
+{
+  GString *message = g_string_new (node->file);
+  va_list arguments;
+
+  if (node->line > 0)
+    g_string_append_printf (message, ":%u", node->line);
+  g_string_append (message, ": ");
+  if (reader->path != NULL)
+    g_string_append (message, reader->path);
+  if (reader->path != NULL && key != NULL)
+    g_string_append_c (message, '.');
+  if (key != NULL)
+    g_string_append (message, key);
+  if (reader->path != NULL || key != NULL)
+    g_string_append (message, ": ");
+  va_start (arguments, format);
+  g_string_append_vprintf (message, format, arguments);
+  va_end (arguments);
+  add_problem (reader, code, g_string_free (message, FALSE));
+}
+
+void
+wc_reader_add_error (WcReader *reader, GError *error)
+{
+  add_problem (reader, (WcError) error->code, g_strdup (error->message));
+  g_error_free (error);
+}
+
+gboolean
+wc_reader_finish (const WcReader *reader, GError **error)
+{
+  g_autoptr (GString) message = g_string_new (NULL);
+  guint i;
+
+  if (reader->count == 0)
+    return TRUE;
+  for (i = 0; i < reader->problems->len; i++)
+    g_string_append_printf (message, "%s%s", i > 0 ? "\n" : "",
+                            (const gchar *) g_ptr_array_index (reader->problems, i));
+  if (reader->count > MAX_PROBLEMS)
+    g_string_append_printf (message, "\nand %u more", reader->count - MAX_PROBLEMS);
+  g_set_error_literal (error, WC_ERROR, (gint) reader->code, message->str);
+  return FALSE;
+}
+
+void
+wc_reader_check_keys (WcReader *reader, const WcNode *table, const gchar *const *known)
+{
+  guint i;
+
+  for (i = 0; i < table->children->len; i++)
+    {
+      const WcNode *child = g_ptr_array_index (table->children, i);
+
+      if (!g_strv_contains (known, child->key))
+        wc_reader_problem (reader, child, child->key, WC_ERROR_UNKNOWN_KEY, "unknown key");
+    }
+}
+
+static const WcNode *
+find (WcReader *reader, const WcNode *table, const gchar *key, WcNodeKind kind, gboolean required)
+{
+  const WcNode *node = wc_node_find (table, key);
+
+  if (node == NULL)
+    {
+      if (required)
+        wc_reader_problem (reader, table, key, WC_ERROR_MISSING, "missing");
+      return NULL;
+    }
+  if (node->kind == kind)
+    return node;
+  wc_reader_problem (reader, node, key, WC_ERROR_TYPE, "must be of type %s, not %s",
+                     kind_names[kind], kind_names[node->kind]);
+  return NULL;
+}
+
+const gchar *
+wc_reader_string (WcReader *reader, const WcNode *table, const gchar *key, gboolean required)
+{
+  const WcNode *node = find (reader, table, key, WC_NODE_STRING, required);
+
+  return node != NULL ? node->text : NULL;
+}
+
+gboolean
+wc_reader_check_name (WcReader *reader, const WcNode *node, const gchar *key)
+{
+  const gchar *text = node->text;
+  gsize length = strlen (text);
+  gsize i;
+
+  if (length >= 1 && length <= MAX_NAME_LENGTH && g_ascii_isalnum (text[0]))
+    {
+      for (i = 1; i < length; i++)
+        if (!g_ascii_isalnum (text[i]) && strchr (".-_", text[i]) == NULL)
+          break;
+      if (i == length)
+        return TRUE;
+    }
+  wc_reader_problem (reader, node, key, WC_ERROR_RANGE,
+                     "must be 1 to %d letters, digits, \".\", \"-\" or \"_\" and begin with a "
+                     "letter or digit, not \"%s\"",
+                     MAX_NAME_LENGTH, text);
+  return FALSE;
+}
+
+const gchar *
+wc_reader_name (WcReader *reader, const WcNode *table, const gchar *key)
+{
+  const WcNode *node = find (reader, table, key, WC_NODE_STRING, TRUE);
+
+  return node != NULL && wc_reader_check_name (reader, node, key) ? node->text : NULL;
+}
+
+void
+wc_reader_integer (WcReader *reader,
+                   const WcNode *table,
+                   const gchar *key,
+                   gint64 minimum,
+                   gint64 maximum,
+                   gint64 *value)
+{
+  const WcNode *node = find (reader, table, key, WC_NODE_INTEGER, FALSE);
+
+  if (node == NULL)
+    return;
+  if (node->number >= minimum && node->number <= maximum)
+    *value = node->number;
+  else
+    wc_reader_problem (reader, node, key, WC_ERROR_RANGE,
+                       "must be between %" G_GINT64_FORMAT " and %" G_GINT64_FORMAT
+                       ", not %" G_GINT64_FORMAT,
+                       minimum, maximum, node->number);
+}
+
+void
+wc_reader_duration (WcReader *reader,
+                    const WcNode *table,
+                    const gchar *key,
+                    gint64 minimum_us,
+                    gint64 maximum_us,
+                    gint64 *value_us)
+{
+  const WcNode *node = find (reader, table, key, WC_NODE_STRING, FALSE);
+  g_autofree gchar *minimum = NULL;
+  g_autofree gchar *maximum = NULL;
+  gint64 value;
+
+  if (node == NULL)
+    return;
+  if (!wc_duration_parse (node->text, &value))
+    {
+      wc_reader_problem (reader, node, key, WC_ERROR_RANGE,
+                         "must be a number with unit us, ms, s, m or h, not \"%s\"", node->text);
+      return;
+    }
+  if (value >= minimum_us && value <= maximum_us)
+    {
+      *value_us = value;
+      return;
+    }
+  minimum = wc_duration_format (minimum_us);
+  maximum = wc_duration_format (maximum_us);
+  wc_reader_problem (reader, node, key, WC_ERROR_RANGE, "must be between %s and %s, not \"%s\"",
+                     minimum, maximum, node->text);
+}
+
+guint
+wc_reader_choice (WcReader *reader,
+                  const WcNode *table,
+                  const gchar *key,
+                  const gchar *const *choices,
+                  guint otherwise)
+{
+  const WcNode *node = find (reader, table, key, WC_NODE_STRING, FALSE);
+  g_autofree gchar *list = NULL;
+  guint i;
+
+  if (node == NULL)
+    return otherwise;
+  for (i = 0; choices[i] != NULL; i++)
+    if (strcmp (choices[i], node->text) == 0)
+      return i;
+  list = g_strjoinv (", ", (gchar **) choices);
+  wc_reader_problem (reader, node, key, WC_ERROR_RANGE, "must be one of %s, not \"%s\"", list,
+                     node->text);
+  return otherwise;
+}
+
+const WcNode *
+wc_reader_array (
+    WcReader *reader, const WcNode *table, const gchar *key, WcNodeKind element, gboolean required)
+{
+  const WcNode *array = find (reader, table, key, WC_NODE_ARRAY, required);
+  gboolean valid = TRUE;
+  guint i;
+
+  if (array == NULL)
+    return NULL;
+  for (i = 0; i < array->children->len; i++)
+    {
+      const WcNode *child = g_ptr_array_index (array->children, i);
+
+      if (child->kind == element)
+        continue;
+      wc_reader_problem (reader, child, key, WC_ERROR_TYPE, "elements must be of type %s, not %s",
+                         kind_names[element], kind_names[child->kind]);
+      valid = FALSE;
+    }
+  return valid ? array : NULL;
+}
+
+gboolean
+wc_duration_parse (const gchar *text, gint64 *duration_us)
+{
+  gsize digits = strspn (text, "0123456789");
+  g_autofree gchar *number = g_strndup (text, digits);
+  guint64 value;
+  guint i;
+
+  /* Nine digits of hours fit the result. */
+  if (digits == 0 || digits > 9 ||
+      !g_ascii_string_to_unsigned (number, 10, 0, G_MAXINT64, &value, NULL))
+    return FALSE;
+  for (i = 0; i < G_N_ELEMENTS (units); i++)
+    if (strcmp (units[i].unit, text + digits) == 0)
+      {
+        *duration_us = (gint64) value * units[i].us;
+        return TRUE;
+      }
+  return FALSE;
+}
+
+gchar *
+wc_duration_format (gint64 duration_us)
+{
+  guint i = 0;
+
+  if (duration_us == 0)
+    return g_strdup ("0s");
+  while (duration_us % units[i].us != 0)
+    i++;
+  return g_strdup_printf ("%" G_GINT64_FORMAT "%s", duration_us / units[i].us, units[i].unit);
+}
--- /dev/null
+++ b/config/wc-settings.c
@@ -0,0 +1,209 @@
+#include "wc-settings.h"
+
+#include "wc-reader.h"
+#include "ww-sock.h"
+
+#include <string.h>
+
+/* IFNAMSIZ without the final nul. */
+#define MAX_DEVICE_LENGTH 15
+
+static const gchar *const balancer_keys[] = {
+  "name",    "host",     "availability_zone", "control_address", "data_address",
+  "network", "platform", "contacts",          "log_level",       NULL
+};
+static const gchar *const agent_keys[] = {
+  "name",     "host",     "availability_zone", "control_address", "data_address", "network",
+  "platform", "contacts", "log_level",         "service",         "server",       NULL
+};
+static const gchar *const udp_keys[] = { "kind", "address", "peer", NULL };
+static const gchar *const tun_keys[] = { "kind", "device", NULL };
+static const gchar *const kind_names[] = { "udp", "tun", NULL };
+static const gchar *const level_names[] = { "error", "info", NULL };
+
+static gboolean
+check_address (WcReader *reader, const WcNode *node, const gchar *key, WcAddress *address)
+{
+  if (ww_address_parse (node->text, &address->address, &address->port) && address->address != 0)
+    return TRUE;
+  address->address = 0;
+  wc_reader_problem (reader, node, key, WC_ERROR_RANGE,
+                     "must be an IPv4 address with a port such as \"192.0.2.1:7000\", not \"%s\"",
+                     node->text);
+  return FALSE;
+}
+
+static void
+read_address (
+    WcReader *reader, const WcNode *table, const gchar *key, gboolean required, WcAddress *address)
+{
+  if (wc_reader_string (reader, table, key, required) != NULL)
+    check_address (reader, wc_node_find (table, key), key, address);
+}
+
+/* Other members are told one address and two ports. */
+static void
+check_sockets (WcReader *reader, const WcNode *document, const WcSettings *settings)
+{
+  const WcNode *node = wc_node_find (document, "data_address");
+
+  if (settings->control.address == 0 || settings->data.address == 0)
+    return;
+  if (settings->control.address != settings->data.address)
+    wc_reader_problem (reader, node, "data_address", WC_ERROR_RANGE,
+                       "must have the same IPv4 address as control_address");
+  else if (settings->control.port == settings->data.port)
+    wc_reader_problem (reader, node, "data_address", WC_ERROR_DUPLICATE,
+                       "must have another port than control_address");
+}
+
+static void
+read_device (WcReader *reader, const WcNode *table, WcPktioSettings *pktio)
+{
+  const gchar *device = wc_reader_string (reader, table, "device", TRUE);
+
+  if (device == NULL)
+    return;
+  if (strlen (device) < 1 || strlen (device) > MAX_DEVICE_LENGTH || strchr (device, '/') != NULL)
+    wc_reader_problem (reader, wc_node_find (table, "device"), "device", WC_ERROR_RANGE,
+                       "must be the name of a network device, not \"%s\"", device);
+  pktio->device = g_strdup (device);
+}
+
+static void
+read_pktio (WcReader *reader,
+            const WcNode *document,
+            const gchar *key,
+            gboolean peer_required,
+            WcPktioSettings *pktio)
+{
+  const WcNode *table = wc_node_find (document, key);
+
+  if (table == NULL || table->kind != WC_NODE_TABLE)
+    {
+      wc_reader_problem (reader, table != NULL ? table : document, key,
+                         table != NULL ? WC_ERROR_TYPE : WC_ERROR_MISSING, "must be a table");
+      return;
+    }
+  reader->path = key;
+  wc_reader_string (reader, table, "kind", TRUE);
+  pktio->kind =
+      wc_reader_choice (reader, table, "kind", kind_names, 0) == 0 ? WC_PKTIO_UDP : WC_PKTIO_TUN;
+  wc_reader_check_keys (reader, table, pktio->kind == WC_PKTIO_UDP ? udp_keys : tun_keys);
+  if (pktio->kind == WC_PKTIO_TUN)
+    read_device (reader, table, pktio);
+  else
+    {
+      read_address (reader, table, "address", TRUE, &pktio->local);
+      read_address (reader, table, "peer", peer_required, &pktio->peer);
+    }
+  reader->path = NULL;
+}
+
+static void
+read_platform (WcReader *reader, const WcNode *document, WcSettings *settings)
+{
+  const gchar *url = wc_reader_string (reader, document, "platform", FALSE);
+  g_autoptr (GUri) uri = NULL;
+
+  if (url == NULL)
+    return;
+  uri = g_uri_parse (url, G_URI_FLAGS_NONE, NULL);
+  if (uri == NULL || g_uri_get_host (uri) == NULL ||
+      (strcmp (g_uri_get_scheme (uri), "http") != 0 &&
+       strcmp (g_uri_get_scheme (uri), "https") != 0))
+    wc_reader_problem (reader, wc_node_find (document, "platform"), "platform", WC_ERROR_RANGE,
+                       "must be an http or https URL, not \"%s\"", url);
+  settings->platform_url = g_strdup (url);
+}
+
+static void
+read_contacts (WcReader *reader, const WcNode *document, WcSettings *settings)
+{
+  const WcNode *array = wc_reader_array (reader, document, "contacts", WC_NODE_STRING, FALSE);
+  WcAddress address;
+  guint i;
+
+  settings->contacts = g_array_new (FALSE, FALSE, sizeof (WcAddress));
+  for (i = 0; array != NULL && i < array->children->len; i++)
+    if (check_address (reader, g_ptr_array_index (array->children, i), "contacts", &address))
+      g_array_append_val (settings->contacts, address);
+}
+
+static WcSettings *
+read_settings (WcReader *reader, const WcNode *document, ww_role role)
+{
+  WcSettings *settings = g_new0 (WcSettings, 1);
+  gboolean is_agent = role == WW_ROLE_AGENT;
+
+  wc_reader_check_keys (reader, document, is_agent ? agent_keys : balancer_keys);
+  settings->name = g_strdup (wc_reader_name (reader, document, "name"));
+  settings->host = g_strdup (wc_reader_name (reader, document, "host"));
+  settings->zone = g_strdup (wc_reader_name (reader, document, "availability_zone"));
+  read_address (reader, document, "control_address", TRUE, &settings->control);
+  read_address (reader, document, "data_address", TRUE, &settings->data);
+  check_sockets (reader, document, settings);
+  /* A balancer sends nothing to the network; an agent sends its server's packets to clients. */
+  read_pktio (reader, document, "network", is_agent, &settings->network);
+  if (is_agent)
+    {
+      settings->service = g_strdup (wc_reader_name (reader, document, "service"));
+      read_pktio (reader, document, "server", TRUE, &settings->server);
+    }
+  read_platform (reader, document, settings);
+  read_contacts (reader, document, settings);
+  settings->log_level =
+      wc_reader_choice (reader, document, "log_level", level_names, WC_LOG_INFO) == 0 ? WC_LOG_ERROR
+                                                                                      : WC_LOG_INFO;
+  return settings;
+}
+
+WcSettings *
+wc_settings_load_text (const gchar *name, const gchar *text, ww_role role, GError **error)
+{
+  gchar *file = g_ref_string_new (name);
+  g_autoptr (WcNode) document = wc_toml_parse (file, text, strlen (text), error);
+  WcSettings *settings;
+  WcReader reader;
+
+  g_ref_string_release (file);
+  if (document == NULL)
+    return NULL;
+  wc_reader_init (&reader);
+  settings = read_settings (&reader, document, role);
+  if (!wc_reader_finish (&reader, error))
+    g_clear_pointer (&settings, wc_settings_free);
+  wc_reader_clear (&reader);
+  return settings;
+}
+
+WcSettings *
+wc_settings_load (const gchar *path, ww_role role, GError **error)
+{
+  g_autofree gchar *text = NULL;
+  g_autoptr (GError) read_error = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &read_error))
+    {
+      g_set_error (error, WC_ERROR, WC_ERROR_FILE, "%s", read_error->message);
+      return NULL;
+    }
+  return wc_settings_load_text (path, text, role, error);
+}
+
+void
+wc_settings_free (WcSettings *settings)
+{
+  if (settings == NULL)
+    return;
+  g_free (settings->name);
+  g_free (settings->host);
+  g_free (settings->zone);
+  g_free (settings->network.device);
+  g_free (settings->service);
+  g_free (settings->server.device);
+  g_free (settings->platform_url);
+  if (settings->contacts != NULL)
+    g_array_unref (settings->contacts);
+  g_free (settings);
+}
--- /dev/null
+++ b/config/wc-settings.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "wc-error.h"
+#include "ww-proto.h"
+
+/**
+ * DOC: The settings file of one process.
+ */
+
+/**
+ * struct WcAddress - an IPv4 address and a port, in host byte order
+ */
+typedef struct
+{
+  guint32 address;
+  guint16 port;
+} WcAddress;
+
+typedef enum
+{
+  WC_PKTIO_UDP,
+  WC_PKTIO_TUN,
+} WcPktioKind;
+
+/**
+ * struct WcPktioSettings - one side of packet input and output
+ * @local: where packets are received, for WC_PKTIO_UDP
+ * @peer: where packets are sent, for WC_PKTIO_UDP; zero when not given
+ * @device: name of the TUN device, for WC_PKTIO_TUN
+ */
+typedef struct
+{
+  WcPktioKind kind;
+  WcAddress local;
+  WcAddress peer;
+  gchar *device;
+} WcPktioSettings;
+
+typedef enum
+{
+  WC_LOG_ERROR,
+  WC_LOG_INFO,
+} WcLogLevel;
+
+/**
+ * struct WcSettings - settings of a balancer or agent
+ * @name: unique among the members; the member id is its wb_name_id()
+ * @control, @data: addresses of the two sockets; the same IPv4 address
+ * @network: packet I/O on the side of the clients
+ * @service: name of the service that the backend server belongs to; NULL for a balancer
+ * @server: packet I/O on the side of the backend server; unused for a balancer
+ * @platform_url: base URL of the platform's object API, or NULL
+ * @contacts: of WcAddress; control addresses to join through
+ */
+typedef struct
+{
+  gchar *name;
+  gchar *host;
+  gchar *zone;
+  WcAddress control;
+  WcAddress data;
+  WcPktioSettings network;
+  gchar *service;
+  WcPktioSettings server;
+  gchar *platform_url;
+  GArray *contacts;
+  WcLogLevel log_level;
+} WcSettings;
+
+/**
+ * wc_settings_load() - reads and checks a settings file
+ * @role: WW_ROLE_BALANCER or WW_ROLE_AGENT
+ * @error: WC_ERROR, with file, line and key; all problems found, one a line
+ */
+WcSettings *wc_settings_load (const gchar *path, ww_role role, GError **error);
+
+/** wc_settings_load_text() - like wc_settings_load() for a file in memory */
+WcSettings *
+wc_settings_load_text (const gchar *name, const gchar *text, ww_role role, GError **error);
+void wc_settings_free (WcSettings *settings);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcSettings, wc_settings_free)
--- /dev/null
+++ b/standins/platform-main.c
@@ -0,0 +1,384 @@
+/*
+ * Stand-in for the platform's object API: versions, conditional writes, watches and call counters
+ * as the protocol has them, and faults that a test switches on by POST /faults.
+ */
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_BODY_BYTES 1100000
+#define MAX_WATCH_MS 60000
+
+typedef struct
+{
+  guint64 version;
+  JsonNode *value;
+} Object;
+
+typedef struct
+{
+  gchar *key;
+  guint64 version;
+  SoupServerMessage *message;
+  guint timer;
+} Watch;
+
+static struct
+{
+  GHashTable *objects; /* key to Object */
+  GPtrArray *watches;  /* of Watch */
+  guint64 reads, writes, conflicts, watch_calls;
+  gboolean down;
+  guint slow_ms;
+  guint lose_writes;
+  gint down_after_writes; /* -1: never */
+} state = { .down_after_writes = -1 };
+
+static void
+object_free (gpointer data)
+{
+  Object *object = data;
+
+  json_node_unref (object->value);
+  g_free (object);
+}
+
+static void
+answer_json (SoupServerMessage *message, guint status, JsonBuilder *builder)
+{
+  g_autoptr (JsonGenerator) generator = json_generator_new ();
+  g_autoptr (JsonNode) node = json_builder_get_root (builder);
+  gsize length;
+  gchar *text;
+
+  json_generator_set_root (generator, node);
+  text = json_generator_to_data (generator, &length);
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE, text, length);
+}
+
+static void
+add_count (JsonBuilder *builder, const gchar *name, guint64 value)
+{
+  json_builder_set_member_name (builder, name);
+  json_builder_add_int_value (builder, (gint64) value);
+}
+
+/* The client sees the connection end before any answer. */
+static void
+close_connection (SoupServerMessage *message)
+{
+  g_autoptr (GIOStream) stream = soup_server_message_steal_connection (message);
+
+  g_io_stream_close (stream, NULL, NULL);
+}
+
+static void
+answer_object (SoupServerMessage *message, const gchar *key, const Object *object)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "key");
+  json_builder_add_string_value (builder, key);
+  add_count (builder, "version", object->version);
+  json_builder_set_member_name (builder, "value");
+  json_builder_add_value (builder, json_node_copy (object->value));
+  json_builder_end_object (builder);
+  answer_json (message, SOUP_STATUS_OK, builder);
+}
+
+static void
+answer_version (SoupServerMessage *message, guint64 version)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  add_count (builder, "version", version);
+  json_builder_end_object (builder);
+  answer_json (message, SOUP_STATUS_OK, builder);
+}
+
+/* Removes a watch, and resumes its message when the client still waits. */
+static void
+end_watch (Watch *watch)
+{
+  g_ptr_array_remove_fast (state.watches, watch);
+  if (watch->timer != 0)
+    g_source_remove (watch->timer);
+  g_signal_handlers_disconnect_by_data (watch->message, watch);
+  g_object_unref (watch->message);
+  g_free (watch->key);
+  g_free (watch);
+}
+
+static gboolean
+watch_timed_out (gpointer data)
+{
+  Watch *watch = data;
+
+  watch->timer = 0;
+  soup_server_message_set_status (watch->message, SOUP_STATUS_NO_CONTENT, NULL);
+  soup_server_message_unpause (watch->message);
+  end_watch (watch);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+watch_disconnected (SoupServerMessage *message, gpointer data)
+{
+  end_watch (data);
+}
+
+static void
+add_watch (SoupServerMessage *message, const gchar *key, guint64 version, guint timeout_ms)
+{
+  Watch *watch = g_new0 (Watch, 1);
+
+  watch->key = g_strdup (key);
+  watch->version = version;
+  watch->message = g_object_ref (message);
+  watch->timer = g_timeout_add (MIN (timeout_ms, MAX_WATCH_MS), watch_timed_out, watch);
+  g_ptr_array_add (state.watches, watch);
+  g_signal_connect (message, "disconnected", G_CALLBACK (watch_disconnected), watch);
+  soup_server_message_pause (message);
+}
+
+static void
+notify_watches (const gchar *key, const Object *object)
+{
+  guint i = 0;
+
+  while (i < state.watches->len)
+    {
+      Watch *watch = g_ptr_array_index (state.watches, i);
+
+      if (strcmp (watch->key, key) != 0 || object->version <= watch->version)
+        {
+          i++;
+          continue;
+        }
+      answer_object (watch->message, key, object);
+      soup_server_message_unpause (watch->message);
+      end_watch (watch);
+    }
+}
+
+static void
+handle_get (SoupServerMessage *message, const gchar *key, GHashTable *query)
+{
+  const Object *object = g_hash_table_lookup (state.objects, key);
+  const gchar *watch = query != NULL ? g_hash_table_lookup (query, "watch") : NULL;
+  const gchar *timeout = query != NULL ? g_hash_table_lookup (query, "timeout_ms") : NULL;
+  guint64 version = watch != NULL ? g_ascii_strtoull (watch, NULL, 10) : 0;
+
+  if (watch == NULL)
+    state.reads++;
+  else
+    state.watch_calls++;
+  if (watch != NULL && (object == NULL || object->version <= version))
+    add_watch (message, key, version,
+               timeout != NULL ? (guint) g_ascii_strtoull (timeout, NULL, 10) : MAX_WATCH_MS);
+  else if (object == NULL)
+    soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+  else
+    answer_object (message, key, object);
+}
+
+/* Returns the value of the body's member "value", or NULL. */
+static JsonNode *
+read_value (SoupServerMessage *message)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  JsonNode *root;
+
+  if (!json_parser_load_from_data (parser, body->data, body->length, NULL))
+    return NULL;
+  root = json_parser_get_root (parser);
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root) ||
+      !json_object_has_member (json_node_get_object (root), "value"))
+    return NULL;
+  return json_object_dup_member (json_node_get_object (root), "value");
+}
+
+/* Returns whether the request's condition holds; a write without a condition is malformed. */
+static gboolean
+condition_holds (SoupServerMessage *message, const Object *object)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  const gchar *if_match = soup_message_headers_get_one (headers, "If-Match");
+  const gchar *if_none_match = soup_message_headers_get_one (headers, "If-None-Match");
+
+  if (if_none_match != NULL)
+    return strcmp (if_none_match, "*") == 0 && object == NULL;
+  return if_match != NULL && if_match[0] == '"' && object != NULL &&
+         g_ascii_strtoull (if_match + 1, NULL, 10) == object->version;
+}
+
+static void
+write_took_effect (SoupServerMessage *message, const gchar *key, Object *object)
+{
+  state.writes++;
+  notify_watches (key, object);
+  if (state.down_after_writes > 0 && --state.down_after_writes == 0)
+    {
+      state.down_after_writes = -1;
+      state.down = TRUE;
+    }
+  if (state.lose_writes > 0)
+    {
+      state.lose_writes--;
+      close_connection (message);
+    }
+  else
+    answer_version (message, object->version);
+}
+
+static void
+handle_put (SoupServerMessage *message, const gchar *key)
+{
+  Object *object = g_hash_table_lookup (state.objects, key);
+  JsonNode *value;
+
+  if (soup_server_message_get_request_body (message)->length > MAX_BODY_BYTES)
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, NULL);
+      return;
+    }
+  if (!condition_holds (message, object))
+    {
+      state.conflicts++;
+      soup_server_message_set_status (message, SOUP_STATUS_PRECONDITION_FAILED, NULL);
+      return;
+    }
+  value = read_value (message);
+  if (value == NULL)
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
+      return;
+    }
+  if (object == NULL)
+    {
+      object = g_new0 (Object, 1);
+      g_hash_table_insert (state.objects, g_strdup (key), object);
+    }
+  else
+    json_node_unref (object->value);
+  object->value = value;
+  object->version++;
+  write_took_effect (message, key, object);
+}
+
+static gboolean
+delay_over (gpointer message)
+{
+  soup_server_message_unpause (message);
+  g_object_unref (message);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+handle_object (SoupServer *server,
+               SoupServerMessage *message,
+               const gchar *path,
+               GHashTable *query,
+               gpointer data)
+{
+  const gchar *key = path + strlen ("/objects/");
+  const gchar *method = soup_server_message_get_method (message);
+
+  if (state.down)
+    {
+      close_connection (message);
+      return;
+    }
+  if (strcmp (method, SOUP_METHOD_GET) == 0)
+    handle_get (message, key, query);
+  else if (strcmp (method, SOUP_METHOD_PUT) == 0)
+    handle_put (message, key);
+  else
+    soup_server_message_set_status (message, SOUP_STATUS_METHOD_NOT_ALLOWED, NULL);
+  if (state.slow_ms == 0 || soup_server_message_get_status (message) == 0)
+    return;
+  soup_server_message_pause (message);
+  g_timeout_add (state.slow_ms, delay_over, g_object_ref (message));
+}
+
+static void
+handle_counters (SoupServer *server,
+                 SoupServerMessage *message,
+                 const gchar *path,
+                 GHashTable *query,
+                 gpointer data)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  add_count (builder, "reads", state.reads);
+  add_count (builder, "writes", state.writes);
+  add_count (builder, "conflicts", state.conflicts);
+  add_count (builder, "watches", state.watch_calls);
+  add_count (builder, "objects", g_hash_table_size (state.objects));
+  json_builder_end_object (builder);
+  answer_json (message, SOUP_STATUS_OK, builder);
+}
+
+static void
+handle_faults (SoupServer *server,
+               SoupServerMessage *message,
+               const gchar *path,
+               GHashTable *query,
+               gpointer data)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  JsonNode *root;
+  JsonObject *faults;
+
+  if (!json_parser_load_from_data (parser, body->data, body->length, NULL) ||
+      (root = json_parser_get_root (parser)) == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
+      return;
+    }
+  faults = json_node_get_object (root);
+  state.down = json_object_get_boolean_member_with_default (faults, "down", FALSE);
+  state.slow_ms = (guint) json_object_get_int_member_with_default (faults, "slow_ms", 0);
+  state.lose_writes = (guint) json_object_get_int_member_with_default (faults, "lose_writes", 0);
+  state.down_after_writes =
+      (gint) json_object_get_int_member_with_default (faults, "down_after_writes", -1);
+  soup_server_message_set_status (message, SOUP_STATUS_NO_CONTENT, NULL);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
+  g_autoptr (SoupServer) server = soup_server_new (NULL, NULL);
+  g_autoptr (GError) error = NULL;
+  gint64 port = argc == 2 ? g_ascii_strtoll (argv[1], NULL, 10) : -1;
+  GSList *uris;
+
+  if (port < 0 || port > G_MAXUINT16)
+    {
+      g_printerr ("usage: platform PORT (0 for any free port)\n");
+      return 2;
+    }
+  state.objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+  state.watches = g_ptr_array_new ();
+  soup_server_add_handler (server, "/objects", handle_object, NULL, NULL);
+  soup_server_add_handler (server, "/counters", handle_counters, NULL, NULL);
+  soup_server_add_handler (server, "/faults", handle_faults, NULL, NULL);
+  if (!soup_server_listen_local (server, (guint) port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
+    {
+      g_printerr ("platform: %s\n", error->message);
+      return 1;
+    }
+  uris = soup_server_get_uris (server);
+  g_print ("http://127.0.0.1:%d\n", g_uri_get_port (uris->data));
+  g_slist_free_full (uris, (GDestroyNotify) g_uri_unref);
+  g_main_loop_run (loop);
+  return 0;
+}
