Add a first version of admission

Cause: flow/ needs an implementation of admission/wa.h to build and test against.

Change: slots with reservation by initial packets, reserved slots for the short class, a queue ordered by class and by tenant fairness with bounded ageing, refusal by queue limit, predicted wait and deadline, placement by occupancy of 3 ranks, offer and pull, hand-over on drain, cold start, and the policies to compare against in wa-options.h.

Ruled out: rows of a WbTable for queued entries. The queue links are embedded in the entries, and a row moves when the table grows.

--- /dev/null
+++ b/admission/wa-admission.c
@@ -0,0 +1,359 @@
+#include "wa-private.h"
+
+/* Mean service times before anything was measured. */
+#define INITIAL_SHORT_US (50 * WB_US_PER_MS)
+#define INITIAL_LONG_US (1 * WB_US_PER_S)
+#define INITIAL_MIXED_US (200 * WB_US_PER_MS)
+
+static guint
+handle_hash (gconstpointer key)
+{
+  const WbHandle *handle = key;
+
+  return handle->index * 31 + handle->generation;
+}
+
+static gboolean
+handle_equal (gconstpointer a, gconstpointer b)
+{
+  const WbHandle *left = a;
+  const WbHandle *right = b;
+
+  return left->index == right->index && left->generation == right->generation;
+}
+
+static void
+tenant_free (gpointer data)
+{
+  WaTenant *tenant = data;
+  guint i;
+
+  for (i = 0; i < WC_N_CLASSES; i++)
+    wb_histogram_free (tenant->wait[i]);
+  g_free (tenant);
+}
+
+static void
+add_tenant (WaAdmission *admission, WaLevel level, guint weight)
+{
+  WaTenant *tenant = g_new0 (WaTenant, 1);
+  guint i;
+
+  tenant->weight = MAX (1, weight);
+  g_queue_init (&tenant->waiting);
+  for (i = 0; i < WC_N_CLASSES; i++)
+    tenant->wait[i] = wb_histogram_new ();
+  g_ptr_array_add (admission->tenants[level], tenant);
+}
+
+WaAdmission *
+wa_admission_new (
+    guint64 self_id, const WaCallbacks *callbacks, guint32 seed, gboolean cold, gint64 now_us)
+{
+  WaAdmission *admission = g_new0 (WaAdmission, 1);
+  guint level;
+
+  admission->self_id = self_id;
+  admission->callbacks = *callbacks;
+  admission->random = g_rand_new_with_seed (seed);
+  admission->counters = wa_counters_new ();
+  admission->slots = 1;
+  admission->started_us = cold ? now_us : WB_NEVER;
+  admission->entries = g_hash_table_new_full (handle_hash, handle_equal, NULL, g_free);
+  admission->placements = g_hash_table_new_full (handle_hash, handle_equal, NULL, g_free);
+  admission->peers = g_ptr_array_new_with_free_func (g_free);
+  admission->pulls = g_array_new (FALSE, FALSE, sizeof (WaPull));
+  admission->next_request_id = g_rand_int (admission->random);
+  admission->next_pull_id = g_rand_int (admission->random);
+  admission->swept_us = now_us;
+  admission->mean_service_us[WC_CLASS_SHORT] = INITIAL_SHORT_US;
+  admission->mean_service_us[WC_CLASS_LONG] = INITIAL_LONG_US;
+  admission->mean_service_us[WC_CLASS_MIXED] = INITIAL_MIXED_US;
+  g_queue_init (&admission->reserved);
+  g_queue_init (&admission->placing);
+  for (level = 0; level < WA_N_LEVELS; level++)
+    {
+      g_queue_init (&admission->by_age[level]);
+      admission->tenants[level] = g_ptr_array_new_with_free_func (tenant_free);
+      add_tenant (admission, level, 1);
+    }
+  return admission;
+}
+
+void
+wa_admission_free (WaAdmission *admission)
+{
+  guint level;
+
+  if (admission == NULL)
+    return;
+  for (level = 0; level < WA_N_LEVELS; level++)
+    g_ptr_array_unref (admission->tenants[level]);
+  g_hash_table_unref (admission->entries);
+  g_hash_table_unref (admission->placements);
+  g_ptr_array_unref (admission->peers);
+  g_array_unref (admission->pulls);
+  wb_counters_free (admission->counters);
+  wc_config_unref (admission->config);
+  g_rand_free (admission->random);
+  g_free (admission);
+}
+
+static void
+set_tenants (WaAdmission *admission, const WcConfig *config)
+{
+  guint level, i;
+
+  for (level = 0; level < WA_N_LEVELS; level++)
+    for (i = 0; i < config->tenants->len; i++)
+      {
+        const WcTenant *tenant = g_ptr_array_index (config->tenants, i);
+
+        if (i < admission->tenants[level]->len)
+          wa_tenant (admission, level, i)->weight = MAX (1, tenant->weight);
+        else
+          add_tenant (admission, level, tenant->weight);
+      }
+}
+
+void
+wa_admission_set_config (WaAdmission *admission, WcConfig *config, const WcService *service)
+{
+  WcConfig *previous = admission->config;
+
+  admission->config = wc_config_ref (config);
+  wc_config_unref (previous);
+  set_tenants (admission, config);
+  if (service == NULL)
+    return;
+  admission->service_id = service->id;
+  admission->slots = MAX (1, service->slots);
+  admission->reserve_short = MIN (service->reserve_short, admission->slots - 1);
+  admission->queue_limit = service->queue_limit;
+  admission->deadline_us = service->deadline_us;
+  admission->open_reserve_us = service->open_reserve_us;
+  admission->cold_start_us = service->cold_start_us;
+}
+
+void
+wa_admission_set_policy (WaAdmission *admission, WaPolicy policy)
+{
+  admission->policy = policy;
+}
+
+void
+wa_admission_set_draining (WaAdmission *admission, gboolean draining, gint64 now_us)
+{
+  admission->draining = draining;
+  if (draining)
+    wa_pull_hand_over (admission, now_us);
+}
+
+static WaEntry *
+add_entry (WaAdmission *admission, WbHandle flow, WcClass class, guint tenant)
+{
+  WaEntry *entry = g_new0 (WaEntry, 1);
+
+  entry->flow = flow;
+  entry->class = class;
+  entry->tenant = tenant;
+  entry->by_age.data = entry;
+  entry->by_tenant.data = entry;
+  g_hash_table_insert (admission->entries, &entry->flow, entry);
+  return entry;
+}
+
+/* The common part of initial packets and later requests. */
+static WaVerdict
+arrive (WaAdmission *admission,
+        WbHandle flow,
+        WcClass class,
+        guint tenant,
+        gboolean initial,
+        guint *retry_after_s,
+        gint64 now_us)
+{
+  WaLevel level = wa_level (class);
+  WaEntry *entry;
+
+  if (wa_slots_free (admission, level, now_us))
+    {
+      entry = add_entry (admission, flow, class, tenant);
+      wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
+      wb_histogram_record (wa_tenant (admission, level, tenant)->wait[class], 0);
+      wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
+      return WA_ADMITTED;
+    }
+  if (wa_refuse_on_arrival (admission, level))
+    {
+      if (retry_after_s != NULL)
+        *retry_after_s = wa_refuse_retry_after (admission);
+      return WA_REFUSED;
+    }
+  entry = add_entry (admission, flow, class, tenant);
+  entry->state = initial ? WA_ENTRY_WAITING_OPEN : WA_ENTRY_WAITING_REQUEST;
+  entry->queued_us = now_us;
+  wa_queue_push (admission, entry);
+  if (initial)
+    wa_pull_offer (admission, now_us);
+  return WA_QUEUED;
+}
+
+WaVerdict
+wa_admission_open (WaAdmission *admission,
+                   WbHandle flow,
+                   WcClass class,
+                   guint tenant,
+                   guint *retry_after_s,
+                   gint64 now_us)
+{
+  const WaEntry *entry = wa_entry_get (admission, flow);
+
+  wa_place_cancel (admission, flow);
+  if (entry != NULL)
+    return entry->state == WA_ENTRY_RESERVED || entry->state == WA_ENTRY_BUSY ? WA_ADMITTED
+                                                                              : WA_QUEUED;
+  wa_pull_settle (admission);
+  return arrive (admission, flow, class, tenant, TRUE, retry_after_s, now_us);
+}
+
+WaVerdict
+wa_admission_request (WaAdmission *admission,
+                      WbHandle flow,
+                      WcClass class,
+                      guint tenant,
+                      guint *retry_after_s,
+                      gint64 now_us)
+{
+  WaEntry *entry = wa_entry_get (admission, flow);
+
+  if (entry == NULL)
+    return arrive (admission, flow, class, tenant, FALSE, retry_after_s, now_us);
+  if (entry->state == WA_ENTRY_RESERVED)
+    {
+      g_queue_unlink (&admission->reserved, &entry->by_age);
+      entry->state = WA_ENTRY_BUSY;
+    }
+  return entry->state == WA_ENTRY_BUSY ? WA_ADMITTED : WA_QUEUED;
+}
+
+void
+wa_admission_busy (
+    WaAdmission *admission, WbHandle flow, WcClass class, guint tenant, gint64 now_us)
+{
+  if (wa_entry_get (admission, flow) != NULL)
+    return;
+  wa_slots_take (admission, add_entry (admission, flow, class, tenant), WA_ENTRY_BUSY, now_us);
+}
+
+void
+wa_admission_answered (WaAdmission *admission, WbHandle flow, gint64 now_us)
+{
+  WaEntry *entry = wa_entry_get (admission, flow);
+
+  if (entry != NULL)
+    entry->answered = TRUE;
+}
+
+void
+wa_admission_done (WaAdmission *admission, WbHandle flow, gint64 now_us)
+{
+  WaEntry *entry = wa_entry_get (admission, flow);
+
+  if (entry == NULL || (entry->state != WA_ENTRY_BUSY && entry->state != WA_ENTRY_RESERVED))
+    return;
+  wa_slots_release (admission, entry, now_us);
+  wa_queue_dispatch (admission, now_us);
+}
+
+void
+wa_admission_remove (WaAdmission *admission, WbHandle flow, gint64 now_us)
+{
+  WaEntry *entry = wa_entry_get (admission, flow);
+
+  wa_place_cancel (admission, flow);
+  if (entry == NULL)
+    return;
+  if (entry->state == WA_ENTRY_BUSY || entry->state == WA_ENTRY_RESERVED)
+    {
+      wa_slots_release (admission, entry, now_us);
+      wa_queue_dispatch (admission, now_us);
+      return;
+    }
+  wa_queue_remove (admission, entry);
+  g_hash_table_remove (admission->entries, &flow);
+  wb_counters_add (admission->counters, WA_COUNTER_GONE_WAITING, 1);
+}
+
+void
+wa_admission_tick (WaAdmission *admission, gint64 now_us)
+{
+  wa_place_expire (admission, now_us);
+  wa_pull_expire (admission, now_us);
+  wa_slots_expire (admission, now_us);
+  wa_refuse_sweep (admission, now_us);
+  if (admission->draining)
+    wa_pull_hand_over (admission, now_us);
+  wa_queue_dispatch (admission, now_us);
+}
+
+gint64
+wa_admission_next_us (const WaAdmission *admission)
+{
+  gint64 next_us = WB_NEVER;
+
+  if (admission->placing.head != NULL)
+    next_us = MIN (next_us, ((WaPlacement *) admission->placing.head->data)->due_us);
+  if (admission->pulls->len > 0)
+    next_us = MIN (next_us, g_array_index (admission->pulls, WaPull, 0).due_us);
+  if (admission->reserved.head != NULL)
+    next_us = MIN (next_us, ((WaEntry *) admission->reserved.head->data)->started_us +
+                                admission->open_reserve_us);
+  if (wa_queue_length (admission) > 0)
+    next_us = MIN (next_us, admission->swept_us + WA_SWEEP_INTERVAL_US);
+  return next_us;
+}
+
+ww_occupancy
+wa_admission_occupancy (const WaAdmission *admission, gint64 now_us)
+{
+  ww_occupancy occupancy = { 0 };
+
+  occupancy.slots = wa_slots_usable (admission, now_us);
+  occupancy.busy = wa_slots_busy (admission) + admission->pulls->len;
+  occupancy.waiting_short = admission->by_age[WA_LEVEL_SHORT].length;
+  occupancy.waiting_long = admission->by_age[WA_LEVEL_REST].length;
+  if (admission->draining)
+    occupancy.flags |= WA_OCCUPANCY_DRAINING;
+  if (occupancy.slots < admission->slots)
+    occupancy.flags |= WA_OCCUPANCY_COLD;
+  return occupancy;
+}
+
+const WbCounters *
+wa_admission_counters (const WaAdmission *admission)
+{
+  return admission->counters;
+}
+
+const WbHistogram *
+wa_admission_wait (const WaAdmission *admission, WcClass class, guint tenant)
+{
+  const GPtrArray *tenants = admission->tenants[wa_level (class)];
+
+  if (tenant >= tenants->len)
+    return NULL;
+  return ((const WaTenant *) g_ptr_array_index (tenants, tenant))->wait[class];
+}
+
+guint
+wa_admission_in_use (const WaAdmission *admission)
+{
+  return wa_slots_busy (admission);
+}
+
+guint
+wa_admission_waiting (const WaAdmission *admission)
+{
+  return wa_queue_length (admission);
+}
--- /dev/null
+++ b/admission/wa-counters.c
@@ -0,0 +1,36 @@
+#include "wa-private.h"
+
+static const WbCounterDef definitions[WA_N_COUNTERS] = {
+  [WA_COUNTER_PLACED_SELF] = { "placed_self", "New flows that the home placed on itself." },
+  [WA_COUNTER_PLACED_PEER] = { "placed_peer", "New flows that the home placed on a peer." },
+  [WA_COUNTER_PLACED_IDLE] = { "placed_idle",
+                               "New flows taken without a query because the home was idle." },
+  [WA_COUNTER_QUERY_TIMEOUTS] = { "query_timeouts",
+                                  "Placements decided without all occupancy replies." },
+  [WA_COUNTER_ADMITTED] = { "admitted", "Initial packets and requests delivered." },
+  [WA_COUNTER_QUEUED] = { "queued", "Initial packets and requests that had to wait." },
+  [WA_COUNTER_REFUSED_LIMIT] = { "refused_limit", "Refusals because the queue was full." },
+  [WA_COUNTER_REFUSED_PREDICTED] = { "refused_predicted",
+                                     "Refusals because the predicted wait exceeded the deadline." },
+  [WA_COUNTER_REFUSED_DEADLINE] = { "refused_deadline", "Refusals because the deadline passed." },
+  [WA_COUNTER_GONE_WAITING] = { "gone_waiting", "Clients that disconnected while they waited." },
+  [WA_COUNTER_AGED] = { "aged", "Entries admitted ahead of the class order because of their age." },
+  [WA_COUNTER_RESERVE_EXPIRED] = { "reserve_expired",
+                                   "Slot reservations that ended without a payload." },
+  [WA_COUNTER_OFFERS_SENT] = { "offers_sent", "Offers sent to peers." },
+  [WA_COUNTER_PULLS_SENT] = { "pulls_sent", "Pulls sent to peers." },
+  [WA_COUNTER_PULLS_REPEATED] = { "pulls_repeated", "Repeated pulls that were ignored." },
+  [WA_COUNTER_PULLS_EMPTY] = { "pulls_empty", "Pulls for which nothing was queued." },
+  [WA_COUNTER_PULL_TIMEOUTS] = { "pull_timeouts", "Own pulls that no initial packet followed." },
+  [WA_COUNTER_GRANTED] = { "granted", "Queued initial packets handed to a peer that pulled." },
+  [WA_COUNTER_HANDED_OVER] = { "handed_over",
+                               "Queued initial packets handed over because of a drain." },
+  [WA_COUNTER_UNKNOWN_PEER] = { "unknown_peer",
+                                "Peer messages from endpoints not in the service." },
+};
+
+WbCounters *
+wa_counters_new (void)
+{
+  return wb_counters_new (definitions, WA_N_COUNTERS);
+}
--- /dev/null
+++ b/admission/wa-peers.c
@@ -0,0 +1,104 @@
+#include "wa-private.h"
+
+WaPeer *
+wa_peer_get (const WaAdmission *admission, guint64 id)
+{
+  guint i;
+
+  for (i = 0; i < admission->peers->len; i++)
+    {
+      WaPeer *peer = g_ptr_array_index (admission->peers, i);
+
+      if (peer->id == id)
+        return peer;
+    }
+  return NULL;
+}
+
+void
+wa_peer_report (WaPeer *peer, const ww_occupancy *occupancy, gint64 now_us)
+{
+  peer->report = *occupancy;
+  peer->reported_us = now_us;
+}
+
+void
+wa_peer_send (WaAdmission *admission, guint64 id, const ww_peer_body *body)
+{
+  ww_peer message = { .magic = WW_PEER_MAGIC,
+                      .service_id = admission->service_id,
+                      .sender_id = admission->self_id,
+                      .body = *body };
+
+  admission->callbacks.send (admission->callbacks.context, id, &message);
+}
+
+void
+wa_admission_set_peers (WaAdmission *admission, const WaEndpoint *peers, guint count)
+{
+  GPtrArray *kept = g_ptr_array_new_with_free_func (g_free);
+  guint i;
+
+  for (i = 0; i < count; i++)
+    {
+      WaPeer *known = wa_peer_get (admission, peers[i].id);
+      WaPeer *peer;
+
+      if (peers[i].id == admission->self_id)
+        continue;
+      peer = known != NULL ? g_memdup2 (known, sizeof *known) : g_new0 (WaPeer, 1);
+      peer->id = peers[i].id;
+      peer->draining = peers[i].draining;
+      peer->suspected = peers[i].suspected;
+      g_ptr_array_add (kept, peer);
+    }
+  g_ptr_array_unref (admission->peers);
+  admission->peers = kept;
+}
+
+static void
+answer_request (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us)
+{
+  ww_peer_body body = { .kind = WW_PEER_OCCUPANCY_REPLY };
+
+  body.ww_peer_body_u.occupancy_reply.request_id = request_id;
+  body.ww_peer_body_u.occupancy_reply.occupancy = wa_admission_occupancy (admission, now_us);
+  wa_peer_send (admission, id, &body);
+}
+
+void
+wa_admission_receive (WaAdmission *admission, const ww_peer *message, gint64 now_us)
+{
+  const ww_peer_body *body = &message->body;
+  WaPeer *peer = wa_peer_get (admission, message->sender_id);
+
+  if (peer == NULL || message->service_id != admission->service_id)
+    {
+      wb_counters_add (admission->counters, WA_COUNTER_UNKNOWN_PEER, 1);
+      return;
+    }
+  switch (body->kind)
+    {
+    case WW_PEER_OCCUPANCY_REQUEST:
+      wa_peer_report (peer, &body->ww_peer_body_u.occupancy_request.occupancy, now_us);
+      answer_request (admission, peer->id, body->ww_peer_body_u.occupancy_request.request_id,
+                      now_us);
+      break;
+    case WW_PEER_OCCUPANCY_REPLY:
+      wa_peer_report (peer, &body->ww_peer_body_u.occupancy_reply.occupancy, now_us);
+      wa_place_reply (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id, now_us);
+      break;
+    case WW_PEER_OFFER:
+      wa_peer_report (peer, &body->ww_peer_body_u.offer.occupancy, now_us);
+      break;
+    case WW_PEER_PULL:
+      wa_peer_report (peer, &body->ww_peer_body_u.pull.occupancy, now_us);
+      wa_pull_answer (admission, peer, &body->ww_peer_body_u.pull, now_us);
+      break;
+    case WW_PEER_REGISTER:
+    case WW_PEER_RELEASE:
+    case WW_PEER_UNREGISTER:
+      return;
+    }
+  wa_pull_try (admission, now_us);
+}
--- /dev/null
+++ b/admission/wa-place.c
@@ -0,0 +1,237 @@
+#include "wa-private.h"
+
+/* Occupancy relative to the slots, in thousandths. Flows placed after the report was made are
+ * added, because the report does not contain them. */
+static guint64
+load_of (const ww_occupancy *report, guint placed_since)
+{
+  guint64 work =
+      (guint64) report->busy + report->waiting_short + report->waiting_long + placed_since;
+
+  return report->slots == 0 ? G_MAXUINT32 : work * 1000 / report->slots;
+}
+
+static guint64
+candidate_load (WaAdmission *admission, const WaCandidate *candidate, gint64 now_us)
+{
+  ww_occupancy report;
+  const WaPeer *peer;
+
+  if (candidate->id == admission->self_id)
+    {
+      report = wa_admission_occupancy (admission, now_us);
+      return load_of (&report, 0);
+    }
+  peer = wa_peer_get (admission, candidate->id);
+  if (peer == NULL || !candidate->replied)
+    return G_MAXUINT64;
+  if ((peer->report.flags & (WA_OCCUPANCY_DRAINING | WA_OCCUPANCY_NOT_ANSWERING)) != 0)
+    return G_MAXUINT64 - 1;
+  return load_of (&peer->report, peer->placed - candidate->placed);
+}
+
+static void
+placement_free (WaAdmission *admission, WaPlacement *placement)
+{
+  WbHandle flow = placement->flow;
+
+  g_queue_unlink (&admission->placing, &placement->link);
+  g_hash_table_remove (admission->placements, &flow);
+}
+
+static void
+place_on (WaAdmission *admission, WbHandle flow, guint64 id)
+{
+  WaPeer *peer = wa_peer_get (admission, id);
+
+  if (peer != NULL)
+    peer->placed++;
+  wb_counters_add (admission->counters,
+                   id == admission->self_id ? WA_COUNTER_PLACED_SELF : WA_COUNTER_PLACED_PEER, 1);
+  admission->callbacks.place (admission->callbacks.context, flow, id);
+}
+
+static void
+decide (WaAdmission *admission, WaPlacement *placement, gint64 now_us)
+{
+  guint64 least = G_MAXUINT64;
+  guint64 chosen = placement->candidates[0].id;
+  WbHandle flow = placement->flow;
+  guint i;
+
+  for (i = 0; i < placement->count; i++)
+    {
+      guint64 load = candidate_load (admission, &placement->candidates[i], now_us);
+
+      if (load >= least)
+        continue;
+      least = load;
+      chosen = placement->candidates[i].id;
+    }
+  placement_free (admission, placement);
+  place_on (admission, flow, chosen);
+}
+
+/* Candidates are the first endpoints in rank order that take new flows; suspected and draining ones
+ * fill up what is missing. */
+static guint
+choose_candidates (const WaAdmission *admission,
+                   const WaEndpoint *ranked,
+                   guint count,
+                   gboolean allow_self,
+                   WaCandidate *candidates)
+{
+  guint found = 0;
+  guint pass, i;
+
+  for (pass = 0; pass < 3; pass++)
+    for (i = 0; i < count && found < WA_RANKS; i++)
+      {
+        gboolean self = ranked[i].id == admission->self_id;
+        gboolean draining = ranked[i].draining || (self && admission->draining);
+        guint worth = draining ? 2 : ranked[i].suspected ? 1 : 0;
+
+        if (worth != pass || (self && !allow_self))
+          continue;
+        candidates[found++] = (WaCandidate){ .id = ranked[i].id };
+      }
+  return found;
+}
+
+static void
+send_queries (WaAdmission *admission, WaPlacement *placement, gint64 now_us)
+{
+  ww_peer_body body = { .kind = WW_PEER_OCCUPANCY_REQUEST };
+  guint i;
+
+  body.ww_peer_body_u.occupancy_request.request_id = placement->request_id;
+  body.ww_peer_body_u.occupancy_request.occupancy = wa_admission_occupancy (admission, now_us);
+  for (i = 0; i < placement->count; i++)
+    {
+      WaCandidate *candidate = &placement->candidates[i];
+      const WaPeer *peer = wa_peer_get (admission, candidate->id);
+
+      if (peer == NULL)
+        continue;
+      candidate->placed = peer->placed;
+      placement->missing++;
+    }
+  /* Sent last: a reply may arrive before the callback returns. */
+  for (i = 0; i < placement->count; i++)
+    if (wa_peer_get (admission, placement->candidates[i].id) != NULL)
+      wa_peer_send (admission, placement->candidates[i].id, &body);
+}
+
+static void
+place_by_query (WaAdmission *admission,
+                WbHandle flow,
+                const WaCandidate *candidates,
+                guint count,
+                gint64 now_us)
+{
+  WaPlacement *placement = g_new0 (WaPlacement, 1);
+
+  placement->flow = flow;
+  placement->request_id = admission->next_request_id++;
+  placement->due_us = now_us + WA_QUERY_TIMEOUT_US;
+  placement->count = count;
+  memcpy (placement->candidates, candidates, count * sizeof *candidates);
+  placement->link.data = placement;
+  g_queue_push_tail_link (&admission->placing, &placement->link);
+  g_hash_table_insert (admission->placements, &placement->flow, placement);
+  send_queries (admission, placement, now_us);
+}
+
+static gboolean
+self_idle (const WaAdmission *admission)
+{
+  return wa_slots_busy (admission) == 0 && wa_queue_length (admission) == 0;
+}
+
+void
+wa_admission_place (WaAdmission *admission,
+                    WbHandle flow,
+                    const WaEndpoint *ranked,
+                    guint count,
+                    gboolean allow_self,
+                    gint64 now_us)
+{
+  WaCandidate candidates[WA_RANKS];
+  guint found;
+  gboolean first_is_self;
+
+  if (g_hash_table_contains (admission->placements, &flow))
+    return;
+  found = choose_candidates (admission, ranked, count, allow_self, candidates);
+  if (found == 0)
+    return;
+  first_is_self = candidates[0].id == admission->self_id;
+  if (admission->policy == WA_POLICY_NEXT_RANK && found > 1 && first_is_self &&
+      !wa_slots_free (admission, WA_LEVEL_REST, now_us))
+    {
+      place_on (admission, flow, candidates[1].id);
+      return;
+    }
+  if (found == 1 || admission->policy >= WA_POLICY_NEXT_RANK ||
+      admission->placing.length >= WA_MAX_PLACEMENTS)
+    {
+      place_on (admission, flow, candidates[0].id);
+      return;
+    }
+  if (first_is_self && self_idle (admission))
+    {
+      wb_counters_add (admission->counters, WA_COUNTER_PLACED_IDLE, 1);
+      place_on (admission, flow, admission->self_id);
+      return;
+    }
+  place_by_query (admission, flow, candidates, found, now_us);
+}
+
+void
+wa_place_reply (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us)
+{
+  GList *link;
+  guint i;
+
+  for (link = admission->placing.head; link != NULL; link = link->next)
+    {
+      WaPlacement *placement = link->data;
+
+      if (placement->request_id != request_id)
+        continue;
+      for (i = 0; i < placement->count; i++)
+        if (placement->candidates[i].id == id && !placement->candidates[i].replied)
+          {
+            placement->candidates[i].replied = TRUE;
+            placement->missing--;
+          }
+      if (placement->missing == 0)
+        decide (admission, placement, now_us);
+      return;
+    }
+}
+
+void
+wa_place_expire (WaAdmission *admission, gint64 now_us)
+{
+  GList *head;
+
+  while ((head = admission->placing.head) != NULL)
+    {
+      WaPlacement *placement = head->data;
+
+      if (now_us < placement->due_us)
+        return;
+      wb_counters_add (admission->counters, WA_COUNTER_QUERY_TIMEOUTS, 1);
+      decide (admission, placement, now_us);
+    }
+}
+
+void
+wa_place_cancel (WaAdmission *admission, WbHandle flow)
+{
+  WaPlacement *placement = g_hash_table_lookup (admission->placements, &flow);
+
+  if (placement != NULL)
+    placement_free (admission, placement);
+}
--- /dev/null
+++ b/admission/wa-private.h
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "wa-options.h"
+
+/* Time for which a placement waits for occupancy replies: a few times the latency between zones. */
+#define WA_QUERY_TIMEOUT_US (5 * WB_US_PER_MS)
+
+/* A pull without a grant is given up after this time. */
+#define WA_PULL_TIMEOUT_US (5 * WB_US_PER_MS)
+
+/* Interval of the check for queued entries that can no longer meet their deadline. A refusal has to
+ * leave within 50 ms of that decision. */
+#define WA_SWEEP_INTERVAL_US (20 * WB_US_PER_MS)
+
+/* Endpoints considered for a new flow, and peers that are told of a queued one. */
+#define WA_RANKS 3
+#define WA_OFFER_PEERS 3
+
+/* Placements that wait for replies at a time; further ones are decided on what is known. */
+#define WA_MAX_PLACEMENTS 256
+
+/* Pulls remembered per peer to recognise repeated ones. */
+#define WA_PULL_IDS 8
+
+typedef enum
+{
+  WA_LEVEL_SHORT,
+  WA_LEVEL_REST, /* long and mixed: a mixed request may be long */
+  WA_N_LEVELS,
+} WaLevel;
+
+typedef enum
+{
+  WA_ENTRY_WAITING_OPEN,
+  WA_ENTRY_WAITING_REQUEST,
+  WA_ENTRY_RESERVED,
+  WA_ENTRY_BUSY,
+} WaEntryState;
+
+/* A flow that waits or uses a slot. */
+typedef struct
+{
+  WbHandle flow;
+  WaEntryState state;
+  WcClass class;
+  guint tenant;
+  gboolean answered;
+  gint64 queued_us;
+  gint64 started_us;
+  gint64 charged_us; /* service time that the tenant was charged in advance */
+  GList by_age;      /* in WaAdmission.by_age, or in .reserved */
+  GList by_tenant;   /* in WaTenant.waiting */
+} WaEntry;
+
+/* A tenant's share of one level. */
+typedef struct
+{
+  guint weight;
+  gdouble service_us; /* received so far, divided by the weight */
+  guint in_use;
+  GQueue waiting;
+  WbHistogram *wait[WC_N_CLASSES];
+} WaTenant;
+
+typedef struct
+{
+  guint64 id;
+  gboolean draining;
+  gboolean suspected;
+  ww_occupancy report;
+  gint64 reported_us; /* 0 when there is no report */
+  guint placed;       /* flows placed on the peer by this endpoint */
+  guint32 pull_ids[WA_PULL_IDS];
+  guint next_pull_id;
+} WaPeer;
+
+typedef struct
+{
+  guint64 id;
+  gboolean replied;
+  guint placed; /* value of WaPeer.placed at the time of the query */
+} WaCandidate;
+
+/* A new flow whose endpoint is being chosen. */
+typedef struct
+{
+  WbHandle flow;
+  guint32 request_id;
+  gint64 due_us;
+  guint count;
+  guint missing;
+  WaCandidate candidates[WA_RANKS];
+  GList link;
+} WaPlacement;
+
+typedef struct
+{
+  guint64 peer_id;
+  guint32 pull_id;
+  gint64 due_us;
+} WaPull;
+
+struct WaAdmission
+{
+  guint64 self_id;
+  WaCallbacks callbacks;
+  WaPolicy policy;
+  GRand *random;
+  WbCounters *counters;
+
+  WcConfig *config;
+  guint64 service_id;
+  guint slots;
+  guint reserve_short;
+  guint queue_limit;
+  gint64 deadline_us;
+  gint64 open_reserve_us;
+  gint64 cold_start_us;
+  gint64 started_us; /* of the backend server, or WB_NEVER when it is warm */
+  gboolean draining;
+
+  GHashTable *entries; /* of WaEntry by flow */
+  guint in_use[WA_N_LEVELS];
+  GQueue reserved;
+
+  GPtrArray *tenants[WA_N_LEVELS]; /* of WaTenant */
+  GQueue by_age[WA_N_LEVELS];
+  guint waiting_by_class[WC_N_CLASSES];
+  gboolean last_was_aged;
+  gint64 swept_us;
+  gint64 mean_service_us[WC_N_CLASSES];
+
+  GPtrArray *peers;       /* of WaPeer */
+  GHashTable *placements; /* of WaPlacement by flow */
+  GQueue placing;
+  guint32 next_request_id;
+  GArray *pulls; /* of WaPull, oldest first */
+  guint32 next_pull_id;
+};
+
+enum
+{
+  WA_COUNTER_PLACED_SELF,
+  WA_COUNTER_PLACED_PEER,
+  WA_COUNTER_PLACED_IDLE,
+  WA_COUNTER_QUERY_TIMEOUTS,
+  WA_COUNTER_ADMITTED,
+  WA_COUNTER_QUEUED,
+  WA_COUNTER_REFUSED_LIMIT,
+  WA_COUNTER_REFUSED_PREDICTED,
+  WA_COUNTER_REFUSED_DEADLINE,
+  WA_COUNTER_GONE_WAITING,
+  WA_COUNTER_AGED,
+  WA_COUNTER_RESERVE_EXPIRED,
+  WA_COUNTER_OFFERS_SENT,
+  WA_COUNTER_PULLS_SENT,
+  WA_COUNTER_PULLS_REPEATED,
+  WA_COUNTER_PULLS_EMPTY,
+  WA_COUNTER_PULL_TIMEOUTS,
+  WA_COUNTER_GRANTED,
+  WA_COUNTER_HANDED_OVER,
+  WA_COUNTER_UNKNOWN_PEER,
+  WA_N_COUNTERS,
+};
+
+/* wa-counters.c */
+WbCounters *wa_counters_new (void);
+
+/* wa-slots.c */
+WaLevel wa_level (WcClass class);
+WaEntry *wa_entry_get (const WaAdmission *admission, WbHandle flow);
+guint wa_slots_usable (const WaAdmission *admission, gint64 now_us);
+guint wa_slots_busy (const WaAdmission *admission);
+gboolean wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us);
+void wa_slots_take (WaAdmission *admission, WaEntry *entry, WaEntryState state, gint64 now_us);
+void wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us);
+void wa_slots_expire (WaAdmission *admission, gint64 now_us);
+
+/* wa-queue.c */
+WaTenant *wa_tenant (WaAdmission *admission, WaLevel level, guint tenant);
+void wa_queue_push (WaAdmission *admission, WaEntry *entry);
+void wa_queue_remove (WaAdmission *admission, WaEntry *entry);
+guint wa_queue_length (const WaAdmission *admission);
+WaEntry *wa_queue_next (WaAdmission *admission, WaLevel level, gboolean initial_only);
+WaEntry *wa_queue_aged (WaAdmission *admission, gint64 now_us);
+void wa_queue_dispatch (WaAdmission *admission, gint64 now_us);
+
+/* wa-predict.c */
+void wa_predict_record (WaAdmission *admission, WcClass class, gint64 service_us);
+gint64 wa_predict_wait (const WaAdmission *admission, WaLevel level);
+gint64 wa_predict_drain (const WaAdmission *admission);
+
+/* wa-refuse.c */
+guint wa_refuse_retry_after (WaAdmission *admission);
+gboolean wa_refuse_on_arrival (WaAdmission *admission, WaLevel level);
+void wa_refuse_sweep (WaAdmission *admission, gint64 now_us);
+
+/* wa-peers.c */
+WaPeer *wa_peer_get (const WaAdmission *admission, guint64 id);
+void wa_peer_report (WaPeer *peer, const ww_occupancy *occupancy, gint64 now_us);
+void wa_peer_send (WaAdmission *admission, guint64 id, const ww_peer_body *body);
+
+/* wa-place.c */
+void wa_place_reply (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us);
+void wa_place_expire (WaAdmission *admission, gint64 now_us);
+void wa_place_cancel (WaAdmission *admission, WbHandle flow);
+
+/* wa-pull.c */
+void wa_pull_offer (WaAdmission *admission, gint64 now_us);
+void wa_pull_try (WaAdmission *admission, gint64 now_us);
+void wa_pull_settle (WaAdmission *admission);
+void wa_pull_expire (WaAdmission *admission, gint64 now_us);
+void wa_pull_answer (WaAdmission *admission, WaPeer *peer, const ww_pull *pull, gint64 now_us);
+void wa_pull_hand_over (WaAdmission *admission, gint64 now_us);
--- /dev/null
+++ b/admission/wa-queue.c
@@ -0,0 +1,158 @@
+#include "wa-private.h"
+
+WaTenant *
+wa_tenant (WaAdmission *admission, WaLevel level, guint tenant)
+{
+  GPtrArray *tenants = admission->tenants[level];
+
+  return g_ptr_array_index (tenants, tenant < tenants->len ? tenant : WC_TENANT_OTHER);
+}
+
+/* A tenant that comes back after a time without work starts level with the least served active
+ * one, so that it neither has to catch up nor may claim the time that it did not use. */
+static void
+tenant_activate (WaAdmission *admission, WaLevel level, WaTenant *tenant)
+{
+  GPtrArray *tenants = admission->tenants[level];
+  gdouble least = G_MAXDOUBLE;
+  guint i;
+
+  if (tenant->in_use > 0 || tenant->waiting.length > 0)
+    return;
+  for (i = 0; i < tenants->len; i++)
+    {
+      const WaTenant *other = g_ptr_array_index (tenants, i);
+
+      if (other != tenant && (other->in_use > 0 || other->waiting.length > 0))
+        least = MIN (least, other->service_us);
+    }
+  if (least < G_MAXDOUBLE)
+    tenant->service_us = MAX (tenant->service_us, least);
+}
+
+void
+wa_queue_push (WaAdmission *admission, WaEntry *entry)
+{
+  WaLevel level = wa_level (entry->class);
+  WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
+
+  tenant_activate (admission, level, tenant);
+  g_queue_push_tail_link (&tenant->waiting, &entry->by_tenant);
+  g_queue_push_tail_link (&admission->by_age[level], &entry->by_age);
+  admission->waiting_by_class[entry->class]++;
+  wb_counters_add (admission->counters, WA_COUNTER_QUEUED, 1);
+}
+
+void
+wa_queue_remove (WaAdmission *admission, WaEntry *entry)
+{
+  WaLevel level = wa_level (entry->class);
+
+  g_queue_unlink (&wa_tenant (admission, level, entry->tenant)->waiting, &entry->by_tenant);
+  g_queue_unlink (&admission->by_age[level], &entry->by_age);
+  admission->waiting_by_class[entry->class]--;
+}
+
+guint
+wa_queue_length (const WaAdmission *admission)
+{
+  return admission->by_age[WA_LEVEL_SHORT].length + admission->by_age[WA_LEVEL_REST].length;
+}
+
+static WaEntry *
+first_of_tenant (const WaTenant *tenant, gboolean initial_only)
+{
+  GList *link;
+
+  for (link = tenant->waiting.head; link != NULL; link = link->next)
+    {
+      WaEntry *entry = link->data;
+
+      if (!initial_only || entry->state == WA_ENTRY_WAITING_OPEN)
+        return entry;
+    }
+  return NULL;
+}
+
+/* Next is the tenant with the least service received relative to its weight. */
+WaEntry *
+wa_queue_next (WaAdmission *admission, WaLevel level, gboolean initial_only)
+{
+  GPtrArray *tenants = admission->tenants[level];
+  WaEntry *best = NULL;
+  gdouble least = G_MAXDOUBLE;
+  guint i;
+
+  for (i = 0; i < tenants->len; i++)
+    {
+      const WaTenant *tenant = g_ptr_array_index (tenants, i);
+      WaEntry *entry;
+
+      if (tenant->service_us >= least)
+        continue;
+      entry = first_of_tenant (tenant, initial_only);
+      if (entry == NULL)
+        continue;
+      best = entry;
+      least = tenant->service_us;
+    }
+  return best;
+}
+
+/* The oldest entry outside the short class, once it has waited for half its deadline. At most every
+ * second admission goes by age, so that old long work cannot hold up the short class. */
+WaEntry *
+wa_queue_aged (WaAdmission *admission, gint64 now_us)
+{
+  GList *head = admission->by_age[WA_LEVEL_REST].head;
+  WaEntry *entry;
+
+  if (head == NULL || admission->last_was_aged)
+    return NULL;
+  entry = head->data;
+  return now_us - entry->queued_us >= admission->deadline_us / 2 ? entry : NULL;
+}
+
+static WaEntry *
+next_to_admit (WaAdmission *admission, gint64 now_us)
+{
+  gboolean rest_free = wa_slots_free (admission, WA_LEVEL_REST, now_us);
+  WaEntry *entry;
+
+  if (!rest_free && !wa_slots_free (admission, WA_LEVEL_SHORT, now_us))
+    return NULL;
+  entry = rest_free ? wa_queue_aged (admission, now_us) : NULL;
+  if (entry != NULL && admission->by_age[WA_LEVEL_SHORT].length > 0)
+    {
+      admission->last_was_aged = TRUE;
+      wb_counters_add (admission->counters, WA_COUNTER_AGED, 1);
+      return entry;
+    }
+  admission->last_was_aged = FALSE;
+  entry = wa_queue_next (admission, WA_LEVEL_SHORT, FALSE);
+  if (entry == NULL && rest_free)
+    entry = wa_queue_next (admission, WA_LEVEL_REST, FALSE);
+  return entry;
+}
+
+/* Admits waiting entries while slots are free. */
+void
+wa_queue_dispatch (WaAdmission *admission, gint64 now_us)
+{
+  WaEntry *entry;
+
+  while ((entry = next_to_admit (admission, now_us)) != NULL)
+    {
+      WbHandle flow = entry->flow;
+      gboolean initial = entry->state == WA_ENTRY_WAITING_OPEN;
+
+      wa_queue_remove (admission, entry);
+      wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
+      wb_histogram_record (
+          wa_tenant (admission, wa_level (entry->class), entry->tenant)->wait[entry->class],
+          now_us - entry->queued_us);
+      wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
+      admission->callbacks.admit (admission->callbacks.context, flow);
+    }
+  wa_pull_try (admission, now_us);
+}
--- /dev/null
+++ b/admission/wa-slots.c
@@ -0,0 +1,93 @@
+#include "wa-private.h"
+
+WaLevel
+wa_level (WcClass class)
+{
+  return class == WC_CLASS_SHORT ? WA_LEVEL_SHORT : WA_LEVEL_REST;
+}
+
+WaEntry *
+wa_entry_get (const WaAdmission *admission, WbHandle flow)
+{
+  return g_hash_table_lookup (admission->entries, &flow);
+}
+
+/* A backend server that has just started counts as having half its slots. */
+guint
+wa_slots_usable (const WaAdmission *admission, gint64 now_us)
+{
+  if (admission->started_us == WB_NEVER ||
+      now_us - admission->started_us >= admission->cold_start_us)
+    return admission->slots;
+  return MAX (1, admission->slots / 2);
+}
+
+guint
+wa_slots_busy (const WaAdmission *admission)
+{
+  return admission->in_use[WA_LEVEL_SHORT] + admission->in_use[WA_LEVEL_REST];
+}
+
+/* The reserved slots are kept by a limit on the slots that other work uses, so that any slot may be
+ * the reserved one. */
+gboolean
+wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us)
+{
+  guint usable = wa_slots_usable (admission, now_us);
+  guint reserved = admission->policy == WA_POLICY_NO_RESERVE ? 0 : admission->reserve_short;
+
+  if (wa_slots_busy (admission) >= usable)
+    return FALSE;
+  if (level == WA_LEVEL_SHORT)
+    return TRUE;
+  return admission->in_use[WA_LEVEL_REST] + MIN (reserved, usable - 1) < usable;
+}
+
+void
+wa_slots_take (WaAdmission *admission, WaEntry *entry, WaEntryState state, gint64 now_us)
+{
+  WaLevel level = wa_level (entry->class);
+  WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
+
+  entry->state = state;
+  entry->started_us = now_us;
+  entry->charged_us = admission->mean_service_us[entry->class];
+  tenant->service_us += (gdouble) entry->charged_us / tenant->weight;
+  tenant->in_use++;
+  admission->in_use[level]++;
+  if (state == WA_ENTRY_RESERVED)
+    g_queue_push_tail_link (&admission->reserved, &entry->by_age);
+}
+
+/* Frees the entry's slot and the entry. The tenant is charged what it really used. */
+void
+wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us)
+{
+  WaLevel level = wa_level (entry->class);
+  WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
+  gint64 used_us = now_us - entry->started_us;
+
+  if (entry->state == WA_ENTRY_RESERVED)
+    g_queue_unlink (&admission->reserved, &entry->by_age);
+  tenant->service_us += (gdouble) (used_us - entry->charged_us) / tenant->weight;
+  tenant->in_use--;
+  admission->in_use[level]--;
+  wa_predict_record (admission, entry->class, used_us);
+  g_hash_table_remove (admission->entries, &entry->flow);
+}
+
+void
+wa_slots_expire (WaAdmission *admission, gint64 now_us)
+{
+  GList *head;
+
+  while ((head = admission->reserved.head) != NULL)
+    {
+      WaEntry *entry = head->data;
+
+      if (now_us - entry->started_us < admission->open_reserve_us)
+        return;
+      wb_counters_add (admission->counters, WA_COUNTER_RESERVE_EXPIRED, 1);
+      wa_slots_release (admission, entry, now_us);
+    }
+}
