--- /dev/null
+++ b/bench/bench-member-main.c
@@ -0,0 +1,7 @@
+#include "member-net.h"
+
+int
+main (void)
+{
+  return 0;
+}
--- /dev/null
+++ b/member/wm-config.c
@@ -0,0 +1,286 @@
+#include "wm-private.h"
+
+#include <string.h>
+
+void
+wm_config_init (WmNode *node)
+{
+  node->config.parts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  wm_fetch_init (node);
+}
+
+void
+wm_config_clear (WmNode *node)
+{
+  guint i;
+
+  wm_fetch_stop (node);
+  g_hash_table_unref (node->config.parts);
+  g_clear_pointer (&node->config.delta, g_bytes_unref);
+  for (i = 0; i < WM_ROOTS; i++)
+    g_clear_pointer (&node->config.roots[i].bytes, g_bytes_unref);
+}
+
+void
+wm_hash (GBytes *bytes, guint8 *hash)
+{
+  g_autoptr (GChecksum) checksum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize length = WM_HASH_BYTES;
+  gsize size;
+  const guint8 *data = g_bytes_get_data (bytes, &size);
+
+  g_checksum_update (checksum, data, (gssize) size);
+  g_checksum_get_digest (checksum, hash, &length);
+}
+
+void
+wm_hash_to_hex (const guint8 *hash, gchar *hex)
+{
+  static const gchar digits[] = "0123456789abcdef";
+  guint i;
+
+  for (i = 0; i < WM_HASH_BYTES; i++)
+    {
+      *hex++ = digits[hash[i] >> 4];
+      *hex++ = digits[hash[i] & 15];
+    }
+  *hex = '\0';
+}
+
+gboolean
+wm_hash_from_hex (const gchar *hex, guint8 *hash)
+{
+  guint i;
+
+  if (strlen (hex) != WM_HEX_LENGTH)
+    return FALSE;
+  for (i = 0; i < WM_HASH_BYTES; i++)
+    {
+      gint high = g_ascii_xdigit_value (*hex++);
+      gint low = g_ascii_xdigit_value (*hex++);
+
+      if (high < 0 || low < 0)
+        return FALSE;
+      hash[i] = (guint8) (high << 4 | low);
+    }
+  return TRUE;
+}
+
+ww_config_id
+wm_config_id (const WmNode *node)
+{
+  return (ww_config_id){ node->config.version, node->config.digest };
+}
+
+/* The newest version held or in effect: only newer ones are accepted (R5). */
+guint64
+wm_config_newest (const WmNode *node)
+{
+  return MAX (node->config.version, node->config.roots[0].version);
+}
+
+const WmRoot *
+wm_config_root (const WmNode *node, guint64 version)
+{
+  guint i;
+
+  for (i = 0; i < WM_ROOTS; i++)
+    if (node->config.roots[i].bytes != NULL && node->config.roots[i].version == version)
+      return &node->config.roots[i];
+  return NULL;
+}
+
+static gboolean
+has_all (const WmNode *node, GPtrArray *hashes)
+{
+  guint i;
+
+  for (i = 0; i < hashes->len; i++)
+    if (!g_hash_table_contains (node->config.parts, hashes->pdata[i]))
+      return FALSE;
+  return TRUE;
+}
+
+static void
+add_referenced (const WmNode *node, GHashTable *table, GPtrArray *hashes)
+{
+  guint i;
+
+  for (i = 0; hashes != NULL && i < hashes->len; i++)
+    {
+      GBytes *part = g_hash_table_lookup (node->config.parts, hashes->pdata[i]);
+
+      if (part != NULL)
+        g_hash_table_insert (table, g_strdup (hashes->pdata[i]), g_bytes_ref (part));
+    }
+}
+
+static GHashTable *
+referenced_parts (const WmNode *node, GPtrArray *hashes, GPtrArray *more)
+{
+  GHashTable *table =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+
+  add_referenced (node, table, hashes);
+  add_referenced (node, table, more);
+  return table;
+}
+
+static GPtrArray *
+list_hashes (const WmNode *node, GBytes *root)
+{
+  if (node->callbacks.root_hashes == NULL || root == NULL)
+    return NULL;
+  return node->callbacks.root_hashes (node->callbacks.context, root);
+}
+
+/* Holds a configuration all of whose parts are here. Parts of the version before stay, for members
+ * that are about to fetch it. */
+void
+wm_config_take (WmNode *node, guint64 version, GBytes *root, GPtrArray *hashes)
+{
+  WmConfig *config = &node->config;
+  g_autoptr (GPtrArray) before = list_hashes (node, config->roots[0].bytes);
+  g_autoptr (GHashTable) parts = referenced_parts (node, hashes, NULL);
+  GHashTable *kept = referenced_parts (node, hashes, before);
+
+  g_hash_table_unref (config->parts);
+  config->parts = kept;
+  g_clear_pointer (&config->roots[WM_ROOTS - 1].bytes, g_bytes_unref);
+  memmove (&config->roots[1], &config->roots[0], (WM_ROOTS - 1) * sizeof (WmRoot));
+  config->roots[0] = (WmRoot){ .version = version, .bytes = g_bytes_ref (root) };
+  wm_hash (root, config->roots[0].hash);
+  if (node->callbacks.config_complete != NULL)
+    node->callbacks.config_complete (node->callbacks.context, version, root, parts);
+}
+
+static void
+keep_offered (WmNode *node, GHashTable *parts)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+
+  g_hash_table_iter_init (&iter, parts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      guint8 hash[WM_HASH_BYTES];
+      gchar hex[WM_HEX_BYTES];
+
+      wm_hash (value, hash);
+      wm_hash_to_hex (hash, hex);
+      if (strcmp (hex, key) != 0)
+        wb_counters_add (node->counters, WM_COUNTER_CONFIG_BAD_HASH, 1);
+      else if (!g_hash_table_contains (node->config.parts, hex))
+        g_hash_table_insert (node->config.parts, g_strdup (hex), g_bytes_ref (value));
+    }
+}
+
+void
+wm_node_offer_config (WmNode *node, guint64 version, GBytes *root, GHashTable *parts, gint64 now_us)
+{
+  g_autoptr (GPtrArray) hashes = NULL;
+
+  node->now_us = MAX (node->now_us, now_us);
+  if (version <= wm_config_newest (node))
+    {
+      wb_counters_add (node->counters, WM_COUNTER_CONFIG_OLDER, version < wm_config_newest (node));
+      return;
+    }
+  hashes = list_hashes (node, root);
+  if (hashes == NULL)
+    return;
+  keep_offered (node, parts);
+  if (!has_all (node, hashes))
+    return;
+  if (node->config.fetch.version <= version)
+    wm_fetch_stop (node);
+  wm_config_take (node, version, root, hashes);
+}
+
+void
+wm_node_set_config (WmNode *node, guint64 version, guint64 digest)
+{
+  if (version < node->config.version)
+    {
+      wb_counters_add (node->counters, WM_COUNTER_CONFIG_OLDER, 1);
+      return;
+    }
+  if (version == node->config.version)
+    return;
+  node->config.version = version;
+  node->config.digest = digest;
+  wm_gossip_announce (node);
+}
+
+guint64
+wm_node_config_version (const WmNode *node)
+{
+  return node->config.version;
+}
+
+/* The same difference is asked for by every member that this one announced the version to. */
+static GBytes *
+get_delta (WmNode *node, const WmRoot *base, const WmRoot *target)
+{
+  WmConfig *config = &node->config;
+
+  if (config->delta != NULL && config->delta_base == base->version &&
+      config->delta_target == target->version)
+    return config->delta;
+  g_clear_pointer (&config->delta, g_bytes_unref);
+  config->delta = wm_delta_encode (base->bytes, target->bytes);
+  config->delta_base = base->version;
+  config->delta_target = target->version;
+  return config->delta;
+}
+
+static GBytes *
+find_root (WmNode *node, const ww_config_fetch *request, ww_config_chunk *chunk)
+{
+  const WmRoot *target = wm_config_root (node, request->config_version);
+  const WmRoot *base = wm_config_root (node, request->base_version);
+  GBytes *delta;
+
+  if (target == NULL)
+    return NULL;
+  memcpy (chunk->hash, target->hash, WM_HASH_BYTES);
+  if (base == NULL || base == target)
+    return target->bytes;
+  delta = get_delta (node, base, target);
+  if (g_bytes_get_size (delta) >= g_bytes_get_size (target->bytes))
+    return target->bytes;
+  chunk->base_version = base->version;
+  return delta;
+}
+
+void
+wm_config_serve (WmNode *node, const WmContact *from, guint32 xid, const ww_config_fetch *request)
+{
+  static const guint8 zeros[WM_HASH_BYTES];
+  WwCall call = { .xid = xid, .is_reply = TRUE };
+  ww_config_chunk chunk = { .config_version = request->config_version, .offset = request->offset };
+  GBytes *object;
+  gsize size = 0;
+  const guint8 *data = NULL;
+
+  memcpy (chunk.hash, request->hash, WM_HASH_BYTES);
+  if (memcmp (request->hash, zeros, WM_HASH_BYTES) == 0)
+    object = find_root (node, request, &chunk);
+  else
+    {
+      gchar hex[WM_HEX_BYTES];
+
+      wm_hash_to_hex ((const guint8 *) request->hash, hex);
+      object = g_hash_table_lookup (node->config.parts, hex);
+    }
+  if (object != NULL)
+    data = g_bytes_get_data (object, &size);
+  if (request->offset < size)
+    {
+      chunk.total = (guint) size;
+      chunk.data.data_val = (char *) data + request->offset;
+      chunk.data.data_len = (guint) MIN (size - request->offset, WW_MAX_CHUNK);
+    }
+  wm_send (node, WM_CLASS_CONFIG, from, &call, xdr_ww_config_chunk, &chunk);
+}
--- /dev/null
+++ b/member/wm-fetch.c
@@ -0,0 +1,350 @@
+#include "wm-private.h"
+
+#include <string.h>
+
+#define FETCH_TIMEOUT_US (600 * WB_US_PER_MS)
+#define FETCH_TIMEOUT_MAX_US (4 * WB_US_PER_S)
+#define BLOCKED_US (5 * WB_US_PER_S)
+
+/* From this number of missing parts on, as at a start, the requests go to random members, so that
+ * the budget of one does not limit the rate. */
+#define MANY_MISSING 4
+
+void
+wm_fetch_init (WmNode *node)
+{
+  node->config.fetch.missing = g_ptr_array_new_with_free_func (g_free);
+}
+
+static void
+clear_slot (WmSlot *slot)
+{
+  g_clear_pointer (&slot->buffer, g_byte_array_unref);
+  memset (slot, 0, sizeof *slot);
+}
+
+static void
+reset (WmNode *node)
+{
+  WmFetch *fetch = &node->config.fetch;
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    clear_slot (&fetch->slots[i]);
+  g_clear_pointer (&fetch->root.bytes, g_bytes_unref);
+  g_ptr_array_set_size (fetch->missing, 0);
+  fetch->version = 0;
+  fetch->n_sources = 0;
+}
+
+/* The parts that have arrived stay in the table of parts. */
+void
+wm_fetch_stop (WmNode *node)
+{
+  reset (node);
+}
+
+/* The member that the version was heard from first, then the others that announced it, then any. */
+static gboolean
+choose_source (WmNode *node, const WmSlot *slot, WmContact *source)
+{
+  const WmFetch *fetch = &node->config.fetch;
+  gboolean many = fetch->missing->len > MANY_MISSING && !slot->is_root;
+  const WmMember *row;
+
+  if (!many && slot->tries < fetch->n_sources)
+    {
+      *source = fetch->sources[slot->tries];
+      return TRUE;
+    }
+  row = wm_pick (node, wm_is_live, 0);
+  if (row == NULL)
+    return FALSE;
+  *source = wm_contact (row);
+  return TRUE;
+}
+
+static void
+request_slot (WmNode *node, WmSlot *slot)
+{
+  const WmFetch *fetch = &node->config.fetch;
+  gint64 timeout_us = FETCH_TIMEOUT_US << MIN (slot->tries, 3);
+  ww_config_fetch request = { .sender_id = node->settings.id,
+                              .config_version = fetch->version,
+                              .base_version = slot->base_version,
+                              .offset = slot->buffer->len };
+  WwCall call = { .procedure = WW_PROC_CONFIG_FETCH };
+  WmContact source;
+
+  if (!slot->is_root)
+    wm_hash_from_hex (slot->hex, (guint8 *) request.hash);
+  slot->xid = call.xid = wm_next_xid (node);
+  slot->due_us = node->now_us + MIN (timeout_us, FETCH_TIMEOUT_MAX_US);
+  if (choose_source (node, slot, &source))
+    wm_send (node, WM_CLASS_CONFIG, &source, &call, xdr_ww_config_fetch, &request);
+}
+
+static void
+restart_slot (WmNode *node, WmSlot *slot)
+{
+  slot->tries++;
+  slot->total = 0;
+  g_byte_array_set_size (slot->buffer, 0);
+  request_slot (node, slot);
+}
+
+static void
+begin_slot (WmNode *node, WmSlot *slot, const gchar *hex)
+{
+  slot->busy = TRUE;
+  slot->is_root = hex == NULL;
+  slot->buffer = g_byte_array_new ();
+  if (hex != NULL)
+    g_strlcpy (slot->hex, hex, sizeof slot->hex);
+  else if (node->config.roots[0].bytes != NULL)
+    slot->base_version = node->config.roots[0].version;
+  request_slot (node, slot);
+}
+
+static void
+fill_slots (WmNode *node)
+{
+  WmFetch *fetch = &node->config.fetch;
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS && fetch->missing->len > 0; i++)
+    {
+      g_autofree gchar *hex = NULL;
+
+      if (fetch->slots[i].busy)
+        continue;
+      hex = g_ptr_array_steal_index_fast (fetch->missing, fetch->missing->len - 1);
+      begin_slot (node, &fetch->slots[i], hex);
+    }
+}
+
+static gboolean
+any_busy (const WmFetch *fetch)
+{
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    if (fetch->slots[i].busy)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+finish_if_complete (WmNode *node)
+{
+  WmFetch *fetch = &node->config.fetch;
+  g_autoptr (GPtrArray) hashes = NULL;
+  g_autoptr (GBytes) root = NULL;
+  guint64 version = fetch->version;
+
+  fill_slots (node);
+  if (fetch->root.bytes == NULL || any_busy (fetch))
+    return;
+  root = g_steal_pointer (&fetch->root.bytes);
+  reset (node);
+  hashes = node->callbacks.root_hashes (node->callbacks.context, root);
+  if (hashes == NULL || version <= wm_config_newest (node))
+    return;
+  wb_counters_add (node->counters, WM_COUNTER_CONFIG_FETCHED, 1);
+  wm_config_take (node, version, root, hashes);
+}
+
+/* Parts already held are not fetched again. */
+static void
+list_missing (WmNode *node, GPtrArray *hashes)
+{
+  WmFetch *fetch = &node->config.fetch;
+  guint i;
+
+  for (i = 0; i < hashes->len; i++)
+    {
+      guint8 hash[WM_HASH_BYTES];
+
+      if (!g_hash_table_contains (node->config.parts, hashes->pdata[i]) &&
+          wm_hash_from_hex (hashes->pdata[i], hash))
+        g_ptr_array_add (fetch->missing, g_strdup (hashes->pdata[i]));
+    }
+}
+
+static GBytes *
+assemble_root (WmNode *node, const WmSlot *slot)
+{
+  g_autoptr (GBytes) bytes = g_bytes_new (slot->buffer->data, slot->buffer->len);
+  guint8 hash[WM_HASH_BYTES];
+  const WmRoot *base;
+
+  if (slot->base_version != 0)
+    {
+      GBytes *whole;
+
+      base = wm_config_root (node, slot->base_version);
+      whole = base != NULL ? wm_delta_apply (base->bytes, bytes, WM_OBJECT_MAX) : NULL;
+      if (whole == NULL)
+        return NULL;
+      g_bytes_unref (bytes);
+      bytes = whole;
+    }
+  wm_hash (bytes, hash);
+  if (memcmp (hash, slot->hash, WM_HASH_BYTES) != 0)
+    return NULL;
+  return g_steal_pointer (&bytes);
+}
+
+static void
+root_arrived (WmNode *node, WmSlot *slot)
+{
+  WmFetch *fetch = &node->config.fetch;
+  g_autoptr (GBytes) root = assemble_root (node, slot);
+  g_autoptr (GPtrArray) hashes = NULL;
+
+  if (root == NULL)
+    {
+      wb_counters_add (node->counters, WM_COUNTER_CONFIG_BAD_HASH, 1);
+      slot->base_version = 0;
+      restart_slot (node, slot);
+      return;
+    }
+  hashes = node->callbacks.root_hashes (node->callbacks.context, root);
+  if (hashes == NULL)
+    {
+      reset (node);
+      fetch->blocked_us = node->now_us + BLOCKED_US;
+      return;
+    }
+  clear_slot (slot);
+  fetch->root.bytes = g_steal_pointer (&root);
+  list_missing (node, hashes);
+  finish_if_complete (node);
+}
+
+static void
+part_arrived (WmNode *node, WmSlot *slot)
+{
+  g_autoptr (GBytes) bytes = g_bytes_new (slot->buffer->data, slot->buffer->len);
+  guint8 hash[WM_HASH_BYTES];
+  gchar hex[WM_HEX_BYTES];
+
+  wm_hash (bytes, hash);
+  wm_hash_to_hex (hash, hex);
+  if (g_ascii_strcasecmp (hex, slot->hex) != 0)
+    {
+      wb_counters_add (node->counters, WM_COUNTER_CONFIG_BAD_HASH, 1);
+      restart_slot (node, slot);
+      return;
+    }
+  g_hash_table_insert (node->config.parts, g_strdup (slot->hex), g_steal_pointer (&bytes));
+  clear_slot (slot);
+  finish_if_complete (node);
+}
+
+WmSlot *
+wm_fetch_find (WmNode *node, guint32 xid)
+{
+  WmFetch *fetch = &node->config.fetch;
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    if (fetch->slots[i].busy && fetch->slots[i].xid == xid)
+      return &fetch->slots[i];
+  return NULL;
+}
+
+/* Chunks of one object may come from several members, which must agree on what it is. */
+static gboolean
+chunk_fits (const WmSlot *slot, const ww_config_chunk *chunk)
+{
+  if (chunk->total == 0 || chunk->total > WM_OBJECT_MAX || chunk->data.data_len == 0 ||
+      chunk->offset != slot->buffer->len || chunk->data.data_len > chunk->total - chunk->offset)
+    return FALSE;
+  if (slot->total == 0)
+    return TRUE;
+  return chunk->total == slot->total &&
+         (!slot->is_root || (chunk->base_version == slot->base_version &&
+                             memcmp (chunk->hash, slot->hash, WM_HASH_BYTES) == 0));
+}
+
+void
+wm_fetch_chunk (WmNode *node, WmSlot *slot, const ww_config_chunk *chunk)
+{
+  if (!chunk_fits (slot, chunk))
+    {
+      restart_slot (node, slot);
+      return;
+    }
+  if (slot->total == 0)
+    {
+      slot->total = chunk->total;
+      slot->base_version = slot->is_root ? chunk->base_version : 0;
+      memcpy (slot->hash, chunk->hash, WM_HASH_BYTES);
+    }
+  g_byte_array_append (slot->buffer, (const guint8 *) chunk->data.data_val, chunk->data.data_len);
+  if (slot->buffer->len < slot->total)
+    request_slot (node, slot);
+  else if (slot->is_root)
+    root_arrived (node, slot);
+  else
+    part_arrived (node, slot);
+}
+
+static void
+add_source (WmFetch *fetch, const WmContact *from)
+{
+  guint i;
+
+  for (i = 0; i < fetch->n_sources; i++)
+    if (fetch->sources[i].address == from->address && fetch->sources[i].port == from->port)
+      return;
+  if (fetch->n_sources < WM_FETCH_SOURCES)
+    fetch->sources[fetch->n_sources++] = *from;
+}
+
+/* A message said that its sender has this version in effect. */
+void
+wm_fetch_heard (WmNode *node, const ww_config_id *id, const WmContact *from)
+{
+  WmFetch *fetch = &node->config.fetch;
+
+  if (id->config_version == node->config.version && id->digest != node->config.digest)
+    wb_counters_add (node->counters, WM_COUNTER_CONFIG_DIGEST_DIFFERS, 1);
+  if (node->callbacks.root_hashes == NULL || id->config_version <= wm_config_newest (node) ||
+      id->config_version < fetch->version || node->now_us < fetch->blocked_us)
+    return;
+  if (id->config_version == fetch->version)
+    {
+      add_source (fetch, from);
+      return;
+    }
+  reset (node);
+  fetch->version = id->config_version;
+  add_source (fetch, from);
+  begin_slot (node, &fetch->slots[0], NULL);
+}
+
+void
+wm_fetch_tick (WmNode *node)
+{
+  WmFetch *fetch = &node->config.fetch;
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    if (fetch->slots[i].busy && fetch->slots[i].due_us <= node->now_us)
+      restart_slot (node, &fetch->slots[i]);
+}
+
+gint64
+wm_fetch_next_us (const WmNode *node)
+{
+  const WmFetch *fetch = &node->config.fetch;
+  gint64 next_us = WB_NEVER;
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    if (fetch->slots[i].busy)
+      next_us = MIN (next_us, fetch->slots[i].due_us);
+  return next_us;
+}
--- /dev/null
+++ b/member/wm-gossip.c
@@ -0,0 +1,314 @@
+#include "wm-private.h"
+
+#define MEMBER_ITEM_BYTES 56
+#define STATE_ITEM_BYTES 44
+#define ZONE_ITEM_BYTES 24
+
+void
+wm_gossip_init (WmNode *node)
+{
+  g_queue_init (&node->news);
+  node->news_index = g_hash_table_new (NULL, NULL);
+  node->push = g_array_new (FALSE, FALSE, sizeof (guint64));
+  node->push_us = WB_NEVER;
+}
+
+void
+wm_gossip_clear (WmNode *node)
+{
+  g_queue_clear_full (&node->news, g_free);
+  g_hash_table_unref (node->news_index);
+  g_array_unref (node->push);
+}
+
+/* Each item is sent 3 * log2(n) times, which reaches all members with high probability. */
+static guint
+repeats (const WmNode *node)
+{
+  return 3 * (guint) g_bit_storage (node->rows->len);
+}
+
+static void
+add_news (WmNode *node, ww_gossip_kind kind, guint64 key, guint32 zone)
+{
+  gpointer index_key = GSIZE_TO_POINTER (kind == WW_GOSSIP_ZONE ? key ^ zone : key);
+  GList *link = g_hash_table_lookup (node->news_index, index_key);
+  WmNews *news;
+
+  if (link == NULL)
+    {
+      news = g_new0 (WmNews, 1);
+      g_queue_push_head (&node->news, news);
+      g_hash_table_insert (node->news_index, index_key, node->news.head);
+    }
+  else
+    {
+      news = link->data;
+      g_queue_unlink (&node->news, link);
+      g_queue_push_head_link (&node->news, link);
+    }
+  news->key = key;
+  news->kind = kind;
+  news->zone = zone;
+  news->remaining = repeats (node);
+}
+
+void
+wm_news_member (WmNode *node, guint64 id)
+{
+  const WmMember *row = wm_find (node, id);
+  guint i;
+
+  add_news (node, WW_GOSSIP_MEMBER, id, 0);
+  /* A lost availability zone would take the whole budget for single members. */
+  if (row != NULL && row->info.state != WW_MEMBER_ALIVE &&
+      wm_zone_has_evidence (node, row->info.zone))
+    return;
+  for (i = 0; i < node->push->len; i++)
+    if (g_array_index (node->push, guint64, i) == id)
+      return;
+  if (node->push->len >= WW_MAX_GOSSIP_ITEMS)
+    return;
+  g_array_append_val (node->push, id);
+  node->push_us = MIN (node->push_us, node->now_us + WM_PUSH_DELAY_US);
+}
+
+void
+wm_news_zone (WmNode *node, guint32 zone, guint64 reporter)
+{
+  add_news (node, WW_GOSSIP_ZONE, reporter, zone);
+  node->push_us = MIN (node->push_us, node->now_us + WM_PUSH_DELAY_US);
+}
+
+static void
+state_item (const WmNode *node, const WmMember *row, ww_gossip_item *item)
+{
+  const WmSuspicion *suspicion =
+      g_hash_table_lookup (node->suspicions, GSIZE_TO_POINTER (row->info.id));
+  ww_gossip_state *state = &item->ww_gossip_item_u.state;
+
+  item->kind = WW_GOSSIP_STATE;
+  *state = (ww_gossip_state){ .id = row->info.id,
+                              .incarnation = row->info.incarnation,
+                              .state = row->info.state };
+  if (suspicion == NULL)
+    return;
+  state->reporter_id = suspicion->reporters[0];
+  state->second_id = suspicion->reporters[1];
+  state->age_ms = (guint32) MIN ((node->now_us - suspicion->start_us) / WB_US_PER_MS, G_MAXUINT32);
+}
+
+static gsize
+member_item (const WmNode *node, guint64 id, ww_gossip_item *item)
+{
+  const WmMember *row = wm_find (node, id);
+
+  if (row == NULL)
+    return 0;
+  if (row->info.state == WW_MEMBER_ALIVE)
+    {
+      item->kind = WW_GOSSIP_MEMBER;
+      item->ww_gossip_item_u.member = row->info;
+      return MEMBER_ITEM_BYTES;
+    }
+  state_item (node, row, item);
+  return STATE_ITEM_BYTES;
+}
+
+static gsize
+make_item (const WmNode *node, const WmNews *news, ww_gossip_item *item)
+{
+  if (news->kind == WW_GOSSIP_MEMBER)
+    return member_item (node, news->key, item);
+  item->kind = WW_GOSSIP_ZONE;
+  if (!wm_zone_item (node, news->zone, news->key, &item->ww_gossip_item_u.zone))
+    return 0;
+  return ZONE_ITEM_BYTES;
+}
+
+static void
+drop_news (WmNode *node, GList *link)
+{
+  WmNews *news = link->data;
+  guint64 key = news->kind == WW_GOSSIP_ZONE ? news->key ^ news->zone : news->key;
+
+  g_hash_table_remove (node->news_index, GSIZE_TO_POINTER (key));
+  g_queue_delete_link (&node->news, link);
+  g_free (news);
+}
+
+static void
+fill_header (WmNode *node, ww_gossip *gossip, ww_gossip_item *items)
+{
+  gossip->sender_id = node->settings.id;
+  gossip->incarnation = wm_self (node)->info.incarnation;
+  gossip->config = wm_config_id (node);
+  gossip->items.items_val = items;
+  gossip->items.items_len = 0;
+}
+
+/* A message to @subject tells it first how it is known, when that is not alive with the incarnation
+ * that it states (0 when it has stated none). */
+static void
+fill_subject (WmNode *node, ww_gossip *gossip, guint64 subject, guint64 incarnation)
+{
+  const WmMember *row = wm_find (node, subject);
+
+  if (row == NULL || row->info.id == node->settings.id)
+    return;
+  if (row->info.state == WW_MEMBER_ALIVE &&
+      (incarnation == 0 || incarnation == row->info.incarnation))
+    return;
+  state_item (node, row, &gossip->items.items_val[0]);
+  gossip->items.items_len = 1;
+}
+
+/* Items go round in a queue with the newest in front. @items has room for WW_MAX_GOSSIP_ITEMS. */
+void
+wm_gossip_fill (
+    WmNode *node, ww_gossip *gossip, ww_gossip_item *items, guint64 subject, guint64 incarnation)
+{
+  gsize allowance = wm_send_item_allowance (node);
+  guint turns = node->news.length;
+  gsize used = 0;
+
+  fill_header (node, gossip, items);
+  fill_subject (node, gossip, subject, incarnation);
+  while (turns-- > 0 && gossip->items.items_len < WW_MAX_GOSSIP_ITEMS)
+    {
+      GList *link = node->news.head;
+      WmNews *news = link->data;
+      gsize size = make_item (node, news, &items[gossip->items.items_len]);
+
+      if (size != 0 && used + size > allowance)
+        return;
+      if (size != 0)
+        {
+          used += size;
+          gossip->items.items_len++;
+          news->remaining--;
+        }
+      if (size == 0 || news->remaining == 0)
+        {
+          drop_news (node, link);
+          continue;
+        }
+      g_queue_unlink (&node->news, link);
+      g_queue_push_tail_link (&node->news, link);
+    }
+}
+
+static void
+send_gossip (WmNode *node, WmClass class, const WmContact *to, ww_gossip *gossip)
+{
+  WwCall call = { .xid = wm_next_xid (node), .procedure = WW_PROC_GOSSIP };
+
+  wm_send (node, class, to, &call, xdr_ww_gossip, gossip);
+}
+
+void
+wm_gossip_send_self (WmNode *node, const WmContact *to)
+{
+  ww_gossip_item item;
+  ww_gossip gossip;
+
+  fill_header (node, &gossip, &item);
+  member_item (node, node->settings.id, &item);
+  gossip.items.items_len = 1;
+  send_gossip (node, WM_CLASS_REST, to, &gossip);
+}
+
+static void
+send_to_random (WmNode *node, WmClass class, ww_gossip *gossip)
+{
+  WmContact contacts[WM_PUSH_FANOUT];
+  guint64 ids[WM_PUSH_FANOUT];
+  guint count = wm_pick_many (node, wm_is_live, 0, contacts, ids, WM_PUSH_FANOUT);
+  guint i;
+
+  for (i = 0; i < count; i++)
+    send_gossip (node, class, &contacts[i], gossip);
+}
+
+/* Tells some members of the configuration in effect; every message carries its version. */
+void
+wm_gossip_announce (WmNode *node)
+{
+  ww_gossip_item item;
+  ww_gossip gossip;
+
+  fill_header (node, &gossip, &item);
+  send_to_random (node, WM_CLASS_CONFIG, &gossip);
+}
+
+/* Sends new items to a few members at once: with piggybacking alone the last member would learn of
+ * a failure after about 2 * log2(n) periods. */
+void
+wm_gossip_tick (WmNode *node)
+{
+  ww_gossip_item items[WW_MAX_GOSSIP_ITEMS];
+  ww_gossip gossip;
+  gboolean urgent = FALSE;
+  GList *link;
+  guint i;
+
+  if (node->now_us < node->push_us)
+    return;
+  node->push_us = WB_NEVER;
+  fill_header (node, &gossip, items);
+  for (link = node->news.head; link != NULL && gossip.items.items_len < 4; link = link->next)
+    {
+      const WmNews *news = link->data;
+
+      if (news->kind == WW_GOSSIP_ZONE && news->remaining == repeats (node) &&
+          make_item (node, news, &items[gossip.items.items_len]) != 0)
+        gossip.items.items_len++;
+    }
+  for (i = 0; i < node->push->len && gossip.items.items_len < WW_MAX_GOSSIP_ITEMS; i++)
+    {
+      ww_gossip_item *item = &items[gossip.items.items_len];
+
+      if (member_item (node, g_array_index (node->push, guint64, i), item) == 0)
+        continue;
+      urgent = urgent || item->kind == WW_GOSSIP_STATE;
+      gossip.items.items_len++;
+    }
+  g_array_set_size (node->push, 0);
+  if (gossip.items.items_len > 0 && (urgent || wm_send_item_allowance (node) > 256))
+    send_to_random (node, urgent ? WM_CLASS_DETECTION : WM_CLASS_REST, &gossip);
+}
+
+static void
+apply_item (WmNode *node, const ww_gossip_item *item, const WmContact *from)
+{
+  switch (item->kind)
+    {
+    case WW_GOSSIP_MEMBER:
+      wm_apply_member (node, &item->ww_gossip_item_u.member, TRUE);
+      break;
+    case WW_GOSSIP_STATE:
+      wm_apply_state (node, &item->ww_gossip_item_u.state, from);
+      break;
+    case WW_GOSSIP_ZONE:
+      wm_zone_apply (node, &item->ww_gossip_item_u.zone);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+wm_gossip_apply (WmNode *node, const ww_gossip *gossip, const WmContact *from)
+{
+  const WmMember *sender;
+  guint i;
+
+  for (i = 0; i < gossip->items.items_len; i++)
+    apply_item (node, &gossip->items.items_val[i], from);
+  sender = wm_find (node, gossip->sender_id);
+  if (sender == NULL || sender->info.address != from->address)
+    return;
+  wm_zone_alive (node, sender->info.zone);
+  wm_join_heard (node, gossip->sender_id);
+  wm_fetch_heard (node, &gossip->config, from);
+}
--- /dev/null
+++ b/member/wm-join.c
@@ -0,0 +1,339 @@
+#include "wm-private.h"
+
+/* One contact after the other, so that a fleet that starts at once does not ask each of them
+ * thrice. */
+#define JOIN_RETRY_US (300 * WB_US_PER_MS)
+#define JOIN_RETRY_MAX_US (2 * WB_US_PER_S)
+/* A contact that is asked by many answers late, as far as its budget allows. */
+#define JOIN_TIMEOUT_US (5 * WB_US_PER_S)
+#define REQUEST_TIMEOUT_US (1500 * WB_US_PER_MS)
+#define READY_WAIT_US (2 * WB_US_PER_S)
+
+/* An answer about 50 members takes 3 datagrams, which any member's budget allows at once, and the
+ * requests for 6,100 members take 11 KB. */
+#define MEMBERS_PER_BUCKET 50
+/* A small fleet is asked in answers of one datagram: all may be starting at once, with little
+ * budget left. */
+#define FEW_BUCKETS 24
+
+/* One datagram of members every 10 s repairs a record that gossip did not deliver, within an hour
+ * at 6,100 members, for 130 bytes a second. */
+#define SYNC_INTERVAL_US (10 * WB_US_PER_S)
+#define MEMBERS_PER_SYNC 16
+/* Used while others know more members, as when many join at once. */
+#define SYNC_BEHIND_INTERVAL_US WB_US_PER_S
+
+/* A dead member is asked to join now and then. When much of the fleet is dead, a network partition
+ * is more likely than as many failures, and each member asks more often. */
+#define REVIVE_INTERVAL_US (10 * WB_US_PER_S)
+#define REVIVE_MANY_INTERVAL_US WB_US_PER_S
+#define REVIVE_MANY_SHARE 8
+
+void
+wm_join_init (WmNode *node)
+{
+  node->join.todo = g_array_new (FALSE, FALSE, sizeof (guint));
+  node->join.requests = g_array_new (FALSE, FALSE, sizeof (WmMembersRequest));
+  node->join.retry_us = node->now_us;
+  node->join.sync_us = WB_NEVER;
+  node->join.revive_us = node->now_us + REVIVE_INTERVAL_US;
+}
+
+void
+wm_join_clear (WmNode *node)
+{
+  g_array_unref (node->join.todo);
+  g_array_unref (node->join.requests);
+}
+
+static WmMembersRequest *
+request_at (const WmNode *node, guint number)
+{
+  return &g_array_index (node->join.requests, WmMembersRequest, number);
+}
+
+static guint32
+add_request (WmNode *node, guint bucket, guint buckets)
+{
+  WmMembersRequest request = { .xid = wm_next_xid (node),
+                               .bucket = bucket,
+                               .buckets = buckets,
+                               .due_us = node->now_us +
+                                         (buckets == 0 ? JOIN_TIMEOUT_US : REQUEST_TIMEOUT_US) };
+
+  g_array_append_val (node->join.requests, request);
+  return request.xid;
+}
+
+static void
+send_join (WmNode *node, const WmContact *to, const WmMember *target)
+{
+  WwCall call = { .procedure = WW_PROC_JOIN };
+  ww_join join = { .member = wm_self (node)->info };
+
+  if (target != NULL)
+    {
+      join.target_id = target->info.id;
+      join.target_incarnation = target->info.incarnation;
+      join.target_state = target->info.state;
+    }
+  call.xid = add_request (node, 0, 0);
+  wm_send (node, WM_CLASS_CONFIG, to, &call, xdr_ww_join, &join);
+}
+
+static void
+join_contact (WmNode *node)
+{
+  WmJoin *join = &node->join;
+  guint count = node->contacts->len;
+  const WmContact *to;
+
+  join->retry_us = node->now_us + MIN (JOIN_RETRY_US << MIN (join->tries, 8), JOIN_RETRY_MAX_US);
+  if (count == 0)
+    return;
+  if (join->tries == 0)
+    join->first_contact = (guint) g_rand_int_range (node->random, 0, (gint32) count);
+  to = &g_array_index (node->contacts, WmContact, (join->first_contact + join->tries++) % count);
+  if (to->address != node->settings.address || to->port != node->settings.control_port)
+    send_join (node, to, NULL);
+}
+
+static void
+request_bucket (WmNode *node, guint bucket, guint buckets)
+{
+  const WmMember *row = wm_pick (node, wm_is_live, 0);
+  ww_members_request body = { node->settings.id, bucket, buckets };
+  WwCall call = { .procedure = WW_PROC_MEMBERS };
+  WmContact to;
+
+  if (row == NULL)
+    return;
+  to = wm_contact (row);
+  call.xid = add_request (node, bucket, buckets);
+  wm_send (node, WM_CLASS_CONFIG, &to, &call, xdr_ww_members_request, &body);
+}
+
+/* Keeps a few requests under way until every bucket has been answered. */
+static void
+request_more (WmNode *node)
+{
+  WmJoin *join = &node->join;
+
+  if (!join->joined || join->complete)
+    return;
+  while (join->todo->len > 0 && join->requests->len < WM_JOIN_WINDOW)
+    {
+      guint bucket = g_array_index (join->todo, guint, join->todo->len - 1);
+
+      g_array_set_size (join->todo, join->todo->len - 1);
+      request_bucket (node, bucket, join->buckets);
+    }
+  if (join->todo->len == 0 && join->requests->len == 0)
+    {
+      join->complete = TRUE;
+      join->sync_us = node->now_us + SYNC_INTERVAL_US;
+    }
+}
+
+static void
+begin_sync (WmNode *node, guint total)
+{
+  WmJoin *join = &node->join;
+  guint i;
+
+  join->joined = TRUE;
+  g_array_set_size (join->requests, 0);
+  total = MIN (total, WM_MAX_TABLE);
+  join->buckets = MAX (total / MEMBERS_PER_BUCKET, MIN (total / MEMBERS_PER_SYNC, FEW_BUCKETS)) + 1;
+  for (i = 0; i < join->buckets; i++)
+    g_array_append_val (join->todo, i);
+  /* Their answers carry the configuration version. */
+  for (i = 0; i < WM_READY_MEMBERS; i++)
+    {
+      WmMember *row = wm_pick (node, wm_is_live, 0);
+
+      if (row != NULL)
+        wm_probe_member (node, row, WM_PROBE_DIRECT);
+    }
+}
+
+static gint
+find_request (const WmNode *node, guint32 xid)
+{
+  guint i;
+
+  for (i = 0; i < node->join.requests->len; i++)
+    if (request_at (node, i)->xid == xid)
+      return (gint) i;
+  return -1;
+}
+
+gboolean
+wm_join_is_pending (const WmNode *node, guint32 xid)
+{
+  return find_request (node, xid) >= 0;
+}
+
+static void
+apply_record (WmNode *node, const ww_member *info)
+{
+  const ww_member *self = &wm_self (node)->info;
+
+  if (info->id == self->id && info->incarnation == self->incarnation &&
+      info->state != WW_MEMBER_ALIVE && !node->leaving)
+    wm_raise_incarnation (node, info->incarnation);
+  else
+    wm_apply_member (node, info, FALSE);
+}
+
+void
+wm_join_reply (WmNode *node, guint32 xid, const WmContact *from, const ww_members_reply *reply)
+{
+  gint number = find_request (node, xid);
+  WmMembersRequest *request;
+  guint i;
+
+  if (number < 0)
+    return;
+  for (i = 0; i < reply->members.members_len; i++)
+    apply_record (node, &reply->members.members_val[i]);
+  wm_join_heard (node, reply->sender_id);
+  wm_fetch_heard (node, &reply->config, from);
+  if (node->join.complete && reply->total > wm_live_count (node))
+    node->join.sync_us = MIN (node->join.sync_us, node->now_us + SYNC_BEHIND_INTERVAL_US);
+  request = request_at (node, (guint) number);
+  if (request->buckets == 0)
+    {
+      g_array_remove_index_fast (node->join.requests, (guint) number);
+      if (!node->join.joined)
+        begin_sync (node, reply->total);
+    }
+  else if (reply->parts > 0 && reply->parts < 32 && reply->part < reply->parts)
+    {
+      request->parts |= 1U << reply->part;
+      if (request->parts == (1U << reply->parts) - 1)
+        g_array_remove_index_fast (node->join.requests, (guint) number);
+    }
+  request_more (node);
+}
+
+/* A bucket that was not answered is asked of another member. */
+static void
+expire_requests (WmNode *node)
+{
+  guint i = 0;
+
+  while (i < node->join.requests->len)
+    {
+      WmMembersRequest request = *request_at (node, i);
+
+      if (request.due_us > node->now_us)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index_fast (node->join.requests, i);
+      if (!node->join.complete && request.buckets != 0)
+        g_array_append_val (node->join.todo, request.bucket);
+    }
+}
+
+static void
+revive (WmNode *node)
+{
+  const WmMember *row = NULL;
+  guint live = node->in_state[WW_MEMBER_ALIVE];
+  guint dead = node->in_state[WW_MEMBER_DEAD];
+  gboolean many = dead > 4 && dead * REVIVE_MANY_SHARE > live;
+  WmContact to;
+
+  node->join.revive_us = node->now_us + (many ? REVIVE_MANY_INTERVAL_US : REVIVE_INTERVAL_US);
+  if (dead > 0)
+    row = wm_pick (node, wm_is_dead, 0);
+  if (row != NULL)
+    {
+      to = wm_contact (row);
+      send_join (node, &to, row);
+      return;
+    }
+  if (node->contacts->len == 0)
+    return;
+  to = g_array_index (node->contacts, WmContact,
+                      g_rand_int_range (node->random, 0, (gint32) node->contacts->len));
+  if (!wm_node_is_member (node, to.address))
+    send_join (node, &to, NULL);
+}
+
+void
+wm_join_heard (WmNode *node, guint64 id)
+{
+  WmJoin *join = &node->join;
+  guint i;
+
+  if (join->n_heard == WM_READY_MEMBERS || id == node->settings.id)
+    return;
+  for (i = 0; i < join->n_heard; i++)
+    if (join->heard[i] == id)
+      return;
+  join->heard[join->n_heard++] = id;
+}
+
+static void
+update_ready (WmNode *node)
+{
+  WmJoin *join = &node->join;
+  gboolean waited = node->now_us - node->start_us >= READY_WAIT_US;
+
+  if (join->ready || node->config.fetch.version != 0)
+    return;
+  if (join->joined)
+    join->ready = join->complete && (waited || join->n_heard == WM_READY_MEMBERS);
+  else
+    join->ready = waited;
+}
+
+gboolean
+wm_node_ready (const WmNode *node)
+{
+  return node->join.ready;
+}
+
+void
+wm_join_tick (WmNode *node)
+{
+  WmJoin *join = &node->join;
+
+  expire_requests (node);
+  request_more (node);
+  if (node->leaving)
+    return;
+  if (!join->joined && node->now_us >= join->retry_us)
+    join_contact (node);
+  if (node->now_us >= join->sync_us)
+    {
+      guint buckets = node->rows->len / MEMBERS_PER_SYNC + 1;
+
+      join->sync_us = node->now_us + SYNC_INTERVAL_US;
+      request_bucket (node, (guint) g_rand_int_range (node->random, 0, (gint32) buckets), buckets);
+    }
+  if (node->now_us >= join->revive_us)
+    revive (node);
+  update_ready (node);
+}
+
+gint64
+wm_join_next_us (const WmNode *node)
+{
+  const WmJoin *join = &node->join;
+  gint64 next_us = MIN (join->sync_us, join->revive_us);
+  gint64 ready_us = node->start_us + READY_WAIT_US;
+  guint i;
+
+  if (!join->joined)
+    next_us = MIN (next_us, join->retry_us);
+  if (!join->ready && node->now_us < ready_us)
+    next_us = MIN (next_us, ready_us);
+  for (i = 0; i < join->requests->len; i++)
+    next_us = MIN (next_us, request_at (node, i)->due_us);
+  return next_us;
+}
--- /dev/null
+++ b/member/wm-node.c
@@ -0,0 +1,392 @@
+#include "wm-private.h"
+
+static const WbCounterDef counter_definitions[WM_N_COUNTERS] = {
+  [WM_COUNTER_SENT_BYTES] = { "member_sent_bytes",
+                              "Bytes of control datagrams sent, IPv4 and UDP headers included." },
+  [WM_COUNTER_SENT_MESSAGES] = { "member_sent_messages", "Control datagrams sent." },
+  [WM_COUNTER_RECEIVED_MESSAGES] = { "member_received_messages", "Control datagrams of membership "
+                                                                 "and configuration received." },
+  [WM_COUNTER_OVER_BUDGET] = { "member_over_budget",
+                               "Control datagrams not sent because of the limit on traffic." },
+  [WM_COUNTER_UNKNOWN_SENDER] = { "member_unknown_sender",
+                                  "Control datagrams from addresses of no known member (R4)." },
+  [WM_COUNTER_MALFORMED] = { "member_malformed", "Control datagrams that do not decode." },
+  [WM_COUNTER_PROBES] = { "member_probes", "Members probed." },
+  [WM_COUNTER_PROBES_FAILED] = { "member_probes_failed", "Probes without an answer." },
+  [WM_COUNTER_SUSPECTED] = { "member_suspected", "Members that became suspected." },
+  [WM_COUNTER_DECLARED_DEAD] = { "member_declared_dead", "Members declared dead." },
+  [WM_COUNTER_REFUTED] = { "member_refuted", "Reports of the own failure that were refuted." },
+  [WM_COUNTER_PAUSES] = { "member_pauses", "Pauses of the own process." },
+  [WM_COUNTER_ZONE_EVIDENCE] = { "member_zone_evidence",
+                                 "Reports that an availability zone is unreachable." },
+  [WM_COUNTER_CONFIG_OLDER] = { "member_config_older",
+                                "Configurations ignored because a newer one is known (R5)." },
+  [WM_COUNTER_CONFIG_FETCHED] = { "member_config_fetched",
+                                  "Configurations fetched from other members." },
+  [WM_COUNTER_CONFIG_BAD_HASH] = { "member_config_bad_hash",
+                                   "Configuration objects that do not match their hash." },
+  [WM_COUNTER_CONFIG_DIGEST_DIFFERS] = { "member_config_digest_differs",
+                                         "Messages with the own version and another digest." },
+};
+
+WmNode *
+wm_node_new (const WmSettings *settings, const WmCallbacks *callbacks, guint32 seed, gint64 now_us)
+{
+  WmNode *node = g_new0 (WmNode, 1);
+
+  node->settings = *settings;
+  node->callbacks = *callbacks;
+  node->random = g_rand_new_with_seed (seed);
+  node->counters = wb_counters_new (counter_definitions, WM_N_COUNTERS);
+  node->now_us = node->start_us = now_us;
+  node->required_reporters = WM_REPORTERS;
+  node->cleanup_us = now_us + 60 * WB_US_PER_S;
+  node->zones = g_array_new (FALSE, FALSE, sizeof (WmZone));
+  node->contacts = g_array_new (FALSE, FALSE, sizeof (WmContact));
+  node->probes = g_array_new (FALSE, FALSE, sizeof (WmProbe));
+  /* Processes that start together do not probe in step. */
+  node->probe_us = now_us + g_rand_int_range (node->random, 0, WM_PROBE_PERIOD_US);
+  node->peer_us = now_us + g_rand_int_range (node->random, 0, WM_PEER_PERIOD_US);
+  wm_send_init (node);
+  wm_table_init (node);
+  wm_gossip_init (node);
+  wm_join_init (node);
+  wm_config_init (node);
+  wm_news_member (node, settings->id);
+  node->next_us = now_us;
+  return node;
+}
+
+void
+wm_node_free (WmNode *node)
+{
+  if (node == NULL)
+    return;
+  wm_config_clear (node);
+  g_ptr_array_unref (node->config.fetch.missing);
+  wm_join_clear (node);
+  wm_gossip_clear (node);
+  wm_table_clear (node);
+  wm_send_clear (node);
+  g_array_unref (node->zones);
+  g_array_unref (node->contacts);
+  g_array_unref (node->probes);
+  wb_counters_free (node->counters);
+  g_rand_free (node->random);
+  g_free (node);
+}
+
+void
+wm_node_set_required_reporters (WmNode *node, guint count)
+{
+  node->required_reporters = count;
+}
+
+void
+wm_node_add_contact (WmNode *node, guint32 address, guint16 port)
+{
+  WmContact contact = { address, port };
+  guint i;
+
+  for (i = 0; i < node->contacts->len; i++)
+    {
+      const WmContact *other = &g_array_index (node->contacts, WmContact, i);
+
+      if (other->address == address && other->port == port)
+        return;
+    }
+  g_array_append_val (node->contacts, contact);
+}
+
+static void
+compute_next (WmNode *node)
+{
+  gint64 next_us = MIN (node->push_us, node->suspicion_due_us);
+
+  next_us = MIN (next_us, wm_probe_next_us (node));
+  next_us = MIN (next_us, wm_send_next_us (node));
+  next_us = MIN (next_us, wm_join_next_us (node));
+  next_us = MIN (next_us, wm_fetch_next_us (node));
+  node->next_us = MIN (next_us, node->cleanup_us);
+}
+
+gint64
+wm_node_next_us (const WmNode *node)
+{
+  return node->next_us;
+}
+
+static void
+leave_call (WmNode *node)
+{
+  compute_next (node);
+  wm_notify (node);
+}
+
+/* Probes that ran out during the pause say nothing about their targets, and suspected members get
+ * the whole time again to refute. */
+static void
+forget_pause (WmNode *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  g_array_set_size (node->probes, 0);
+  g_hash_table_iter_init (&iter, node->suspicions);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((WmSuspicion *) value)->start_us = node->now_us;
+  node->suspicion_due_us = MIN (node->suspicion_due_us, node->now_us + WM_SUSPICION_US);
+  for (i = 0; i < node->zones->len; i++)
+    wm_zone_alive (node, g_array_index (node->zones, WmZone, i).zone);
+}
+
+static void
+resume (WmNode *node)
+{
+  wb_counters_add (node->counters, WM_COUNTER_PAUSES, 1);
+  forget_pause (node);
+  if (node->leaving)
+    return;
+  wm_raise_incarnation (node, wm_self (node)->info.incarnation);
+  wm_probe_peers (node);
+}
+
+static void
+enter_call (WmNode *node, gint64 now_us)
+{
+  node->now_us = MAX (node->now_us, now_us);
+  if (node->now_us - node->next_us > WM_PAUSE_US)
+    resume (node);
+}
+
+void
+wm_node_resumed (WmNode *node, gint64 now_us)
+{
+  node->now_us = MAX (node->now_us, now_us);
+  resume (node);
+  leave_call (node);
+}
+
+void
+wm_node_tick (WmNode *node, gint64 now_us)
+{
+  enter_call (node, now_us);
+  wm_state_tick (node);
+  wm_probe_tick (node);
+  wm_join_tick (node);
+  wm_fetch_tick (node);
+  wm_gossip_tick (node);
+  wm_send_tick (node);
+  leave_call (node);
+}
+
+void
+wm_node_set_draining (WmNode *node, gboolean draining, gint64 now_us)
+{
+  ww_member *self = &wm_self (node)->info;
+  guint32 flags = draining ? self->flags | WM_MEMBER_DRAINING : self->flags & ~WM_MEMBER_DRAINING;
+
+  node->now_us = MAX (node->now_us, now_us);
+  if (self->flags == flags)
+    return;
+  self->flags = flags;
+  wm_raise_incarnation (node, self->incarnation);
+  leave_call (node);
+}
+
+void
+wm_node_leave (WmNode *node, gint64 now_us)
+{
+  GArray *peers = wm_peers (node);
+  guint i;
+
+  node->now_us = MAX (node->now_us, now_us);
+  if (node->leaving)
+    return;
+  node->leaving = TRUE;
+  wm_table_set_state (node, wm_self (node), WW_MEMBER_LEFT);
+  wm_news_member (node, node->settings.id);
+  node->push_us = node->now_us;
+  wm_gossip_tick (node);
+  for (i = 0; i < peers->len && i < 16; i++)
+    {
+      WmContact to = wm_contact (wm_find (node, g_array_index (peers, guint64, i)));
+
+      wm_gossip_send_self (node, &to);
+    }
+  leave_call (node);
+}
+
+static gboolean
+is_contact (const WmNode *node, guint32 address)
+{
+  guint i;
+
+  for (i = 0; i < node->contacts->len; i++)
+    if (g_array_index (node->contacts, WmContact, i).address == address)
+      return TRUE;
+  return FALSE;
+}
+
+/* Decodes the body into a zeroed union member and counts what does not decode. */
+static gboolean
+decode (WmNode *node, const guint8 *body, gsize length, gpointer decoder, gpointer value)
+{
+  if (ww_body_decode (body, length, (xdrproc_t) decoder, value, NULL))
+    return TRUE;
+  wb_counters_add (node->counters, WM_COUNTER_MALFORMED, 1);
+  return FALSE;
+}
+
+static void
+receive_gossip (
+    WmNode *node, const WmContact *from, const WwCall *call, const guint8 *body, gsize length)
+{
+  ww_ping ping = { 0 };
+  ww_ping_req req = { 0 };
+  ww_gossip gossip = { 0 };
+
+  if (call->procedure == WW_PROC_PING && decode (node, body, length, xdr_ww_ping, &ping))
+    {
+      wm_gossip_apply (node, &ping.gossip, from);
+      wm_probe_ping (node, from, call->xid, &ping);
+      ww_body_clear ((xdrproc_t) xdr_ww_ping, &ping);
+    }
+  if (call->procedure == WW_PROC_PING_REQ && decode (node, body, length, xdr_ww_ping_req, &req))
+    {
+      wm_gossip_apply (node, &req.gossip, from);
+      wm_probe_ping_req (node, from, call->xid, &req);
+      ww_body_clear ((xdrproc_t) xdr_ww_ping_req, &req);
+    }
+  if (call->procedure == WW_PROC_GOSSIP && decode (node, body, length, xdr_ww_gossip, &gossip))
+    {
+      wm_gossip_apply (node, &gossip, from);
+      ww_body_clear ((xdrproc_t) xdr_ww_gossip, &gossip);
+    }
+}
+
+static void
+receive_request (
+    WmNode *node, const WmContact *from, const WwCall *call, const guint8 *body, gsize length)
+{
+  ww_join join = { 0 };
+  ww_members_request members = { 0 };
+  ww_config_fetch fetch = { 0 };
+
+  if (call->procedure == WW_PROC_JOIN && decode (node, body, length, xdr_ww_join, &join))
+    wm_serve_join (node, from, call->xid, &join);
+  if (call->procedure == WW_PROC_MEMBERS &&
+      decode (node, body, length, xdr_ww_members_request, &members))
+    wm_serve_members (node, from, call->xid, &members);
+  if (call->procedure == WW_PROC_CONFIG_FETCH &&
+      decode (node, body, length, xdr_ww_config_fetch, &fetch))
+    wm_config_serve (node, from, call->xid, &fetch);
+}
+
+/* Return: FALSE when no call of this node has this transaction id */
+static gboolean
+receive_reply (WmNode *node, const WmContact *from, guint32 xid, const guint8 *body, gsize length)
+{
+  WmSlot *slot = wm_fetch_find (node, xid);
+  gint probe = wm_probe_find (node, xid);
+  ww_ack ack = { 0 };
+  ww_members_reply members = { 0 };
+  ww_config_chunk chunk = { 0 };
+
+  if (probe >= 0)
+    {
+      if (!decode (node, body, length, xdr_ww_ack, &ack))
+        return TRUE;
+      wm_probe_ack (node, (guint) probe, from, &ack);
+      wm_gossip_apply (node, &ack.gossip, from);
+      ww_body_clear ((xdrproc_t) xdr_ww_ack, &ack);
+      return TRUE;
+    }
+  if (wm_join_is_pending (node, xid))
+    {
+      if (!decode (node, body, length, xdr_ww_members_reply, &members))
+        return TRUE;
+      wm_join_reply (node, xid, from, &members);
+      ww_body_clear ((xdrproc_t) xdr_ww_members_reply, &members);
+      return TRUE;
+    }
+  if (slot == NULL)
+    return FALSE;
+  if (!decode (node, body, length, xdr_ww_config_chunk, &chunk))
+    return TRUE;
+  wm_fetch_chunk (node, slot, &chunk);
+  ww_body_clear ((xdrproc_t) xdr_ww_config_chunk, &chunk);
+  return TRUE;
+}
+
+static gboolean
+is_ours (const WwCall *call)
+{
+  switch (call->procedure)
+    {
+    case WW_PROC_PING:
+    case WW_PROC_PING_REQ:
+    case WW_PROC_GOSSIP:
+    case WW_PROC_CONFIG_FETCH:
+    case WW_PROC_MEMBERS:
+    case WW_PROC_JOIN:
+      return TRUE;
+    default:
+      return call->is_reply;
+    }
+}
+
+static void
+receive_unknown (
+    WmNode *node, const WmContact *from, const WwCall *call, const guint8 *body, gsize length)
+{
+  ww_ping ping = { 0 };
+
+  wb_counters_add (node->counters, WM_COUNTER_UNKNOWN_SENDER, 1);
+  if (call->is_reply || call->procedure != WW_PROC_PING ||
+      !decode (node, body, length, xdr_ww_ping, &ping))
+    return;
+  wm_probe_ping_unknown (node, from, call->xid, &ping);
+  ww_body_clear ((xdrproc_t) xdr_ww_ping, &ping);
+}
+
+static gboolean
+dispatch (WmNode *node, const WmContact *from, const WwCall *call, const guint8 *body, gsize length)
+{
+  if (!wm_node_is_member (node, from->address) && !is_contact (node, from->address) &&
+      call->procedure != WW_PROC_JOIN)
+    {
+      receive_unknown (node, from, call, body, length);
+      return TRUE;
+    }
+  if (call->is_reply)
+    return receive_reply (node, from, call->xid, body, length);
+  receive_gossip (node, from, call, body, length);
+  receive_request (node, from, call, body, length);
+  return TRUE;
+}
+
+gboolean
+wm_node_receive (
+    WmNode *node, guint32 address, guint16 port, const guint8 *data, gsize length, gint64 now_us)
+{
+  WmContact from = { address, port };
+  WwCall call;
+  const guint8 *body;
+  gsize body_length;
+  gboolean handled;
+
+  if (!ww_call_decode (data, length, &call, &body, &body_length, NULL))
+    {
+      wb_counters_add (node->counters, WM_COUNTER_MALFORMED, 1);
+      return TRUE;
+    }
+  if (!is_ours (&call))
+    return FALSE;
+  enter_call (node, now_us);
+  wb_counters_add (node->counters, WM_COUNTER_RECEIVED_MESSAGES, 1);
+  handled = dispatch (node, &from, &call, body, body_length);
+  leave_call (node);
+  return handled;
+}
--- /dev/null
+++ b/member/wm-serve.c
@@ -0,0 +1,88 @@
+#include "wm-private.h"
+
+/* Longest answer to one request: 8 datagrams would exceed the burst that the budget allows. */
+#define MAX_PARTS 6
+
+/* Members named to a joining node, which asks these for the whole list. */
+#define JOIN_MEMBERS 4
+
+static void
+send_reply (WmNode *node,
+            WmClass class,
+            const WmContact *to,
+            guint32 xid,
+            ww_members_reply *reply,
+            ww_member *members,
+            guint count)
+{
+  WwCall call = { .xid = xid, .is_reply = TRUE };
+
+  reply->sender_id = node->settings.id;
+  reply->config = wm_config_id (node);
+  reply->total = wm_live_count (node);
+  reply->members.members_val = members;
+  reply->members.members_len = count;
+  wm_send (node, class, to, &call, xdr_ww_members_reply, reply);
+}
+
+/* The only message from unknown addresses (R4): it can only add or update a record whose address is
+ * that of its sender. */
+void
+wm_serve_join (WmNode *node, const WmContact *from, guint32 xid, const ww_join *join)
+{
+  ww_member members[JOIN_MEMBERS + 2];
+  ww_members_reply reply = { .parts = 1 };
+  WmContact contacts[JOIN_MEMBERS];
+  guint64 ids[JOIN_MEMBERS];
+  const WmMember *row;
+  guint count = 0, picked, i;
+
+  if (join->member.address != from->address ||
+      wm_member_control_port (&join->member) != from->port ||
+      join->member.id == node->settings.id || node->leaving)
+    {
+      wb_counters_add (node->counters, WM_COUNTER_UNKNOWN_SENDER, 1);
+      return;
+    }
+  if (join->target_id == node->settings.id && join->target_state != WW_MEMBER_ALIVE &&
+      join->target_incarnation >= wm_self (node)->info.incarnation)
+    wm_raise_incarnation (node, join->target_incarnation);
+  wm_apply_member (node, &join->member, TRUE);
+  row = wm_find (node, join->member.id);
+  if (row != NULL &&
+      (row->info.incarnation != join->member.incarnation || row->info.state != WW_MEMBER_ALIVE))
+    members[count++] = row->info;
+  members[count++] = wm_self (node)->info;
+  picked = wm_pick_many (node, wm_is_live, join->member.id, contacts, ids, JOIN_MEMBERS);
+  for (i = 0; i < picked; i++)
+    members[count++] = wm_find (node, ids[i])->info;
+  send_reply (node, WM_CLASS_CONFIG, from, xid, &reply, members, count);
+}
+
+void
+wm_serve_members (WmNode *node,
+                  const WmContact *from,
+                  guint32 xid,
+                  const ww_members_request *request)
+{
+  ww_member members[MAX_PARTS * WW_MAX_MEMBERS];
+  ww_members_reply reply = { .bucket = request->bucket, .buckets = request->buckets };
+  guint count = 0, i;
+
+  if (request->buckets == 0 || request->bucket >= request->buckets)
+    return;
+  for (i = 0; i < node->rows->len && count < G_N_ELEMENTS (members); i++)
+    {
+      const ww_member *info = &g_array_index (node->rows, WmMember, i).info;
+
+      if (info->id % request->buckets == request->bucket && info->state <= WW_MEMBER_SUSPECT)
+        members[count++] = *info;
+    }
+  reply.parts = MAX (1, (count + WW_MAX_MEMBERS - 1) / WW_MAX_MEMBERS);
+  for (i = 0; i < reply.parts; i++)
+    {
+      reply.part = i;
+      send_reply (node, WM_CLASS_REST, from, xid, &reply, members + (gsize) i * WW_MAX_MEMBERS,
+                  MIN (count - i * WW_MAX_MEMBERS, WW_MAX_MEMBERS));
+    }
+}
--- /dev/null
+++ b/member/wm-table.c
@@ -0,0 +1,264 @@
+#include "wm-private.h"
+
+#include <string.h>
+
+void
+wm_table_init (WmNode *node)
+{
+  const WmSettings *settings = &node->settings;
+  ww_member self = {
+    .id = settings->id,
+    .service_id = settings->service_id,
+    .address = settings->address,
+    .ports = ((guint32) settings->control_port << 16) | settings->data_port,
+    .zone = settings->zone,
+    .host = settings->host,
+    .role = settings->role,
+    .state = WW_MEMBER_ALIVE,
+  };
+
+  /* A restarted process does not know its last incarnation. A random epoch differs from it, so that
+   * the members notice the restart; when it is lower they say so and it is raised. */
+  self.incarnation = (guint64) (g_rand_int (node->random) >> 2) << 32;
+  node->rows = g_array_new (FALSE, FALSE, sizeof (WmMember));
+  node->index = g_hash_table_new (NULL, NULL);
+  node->addresses = g_hash_table_new (NULL, NULL);
+  node->suspicions = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  node->peers = g_array_new (FALSE, FALSE, sizeof (guint64));
+  node->suspicion_due_us = WB_NEVER;
+  wm_table_add (node, &self);
+}
+
+void
+wm_table_clear (WmNode *node)
+{
+  g_array_unref (node->rows);
+  g_array_unref (node->peers);
+  g_hash_table_unref (node->index);
+  g_hash_table_unref (node->addresses);
+  g_hash_table_unref (node->suspicions);
+}
+
+static WmMember *
+row_at (const WmNode *node, guint number)
+{
+  return &g_array_index (node->rows, WmMember, number);
+}
+
+WmMember *
+wm_self (const WmNode *node)
+{
+  return row_at (node, 0);
+}
+
+WmMember *
+wm_find (const WmNode *node, guint64 id)
+{
+  gpointer number;
+
+  if (!g_hash_table_lookup_extended (node->index, GSIZE_TO_POINTER (id), NULL, &number))
+    return NULL;
+  return row_at (node, GPOINTER_TO_UINT (number));
+}
+
+static void
+count_address (WmNode *node, guint32 address, gint change)
+{
+  gpointer key = GUINT_TO_POINTER (address);
+  gint count = GPOINTER_TO_INT (g_hash_table_lookup (node->addresses, key)) + change;
+
+  if (count > 0)
+    g_hash_table_insert (node->addresses, key, GINT_TO_POINTER (count));
+  else
+    g_hash_table_remove (node->addresses, key);
+}
+
+static void
+note_change (WmNode *node, const WmMember *row)
+{
+  node->changed = TRUE;
+  if (row->info.role == WW_ROLE_BALANCER)
+    node->watcher_stale = TRUE;
+  if (row->info.service_id != 0 && row->info.service_id == node->settings.service_id)
+    node->peers_stale = TRUE;
+}
+
+WmMember *
+wm_table_add (WmNode *node, const ww_member *info)
+{
+  WmMember row = { .info = *info, .since_us = node->now_us };
+
+  if (node->rows->len >= WM_MAX_TABLE)
+    return NULL;
+  g_hash_table_insert (node->index, GSIZE_TO_POINTER (info->id),
+                       GUINT_TO_POINTER (node->rows->len));
+  g_array_append_val (node->rows, row);
+  count_address (node, info->address, 1);
+  node->in_state[info->state]++;
+  note_change (node, &row);
+  return row_at (node, node->rows->len - 1);
+}
+
+/* The state is kept. */
+void
+wm_table_update (WmNode *node, WmMember *row, const ww_member *info)
+{
+  ww_member_state state = row->info.state;
+
+  note_change (node, row);
+  count_address (node, row->info.address, -1);
+  count_address (node, info->address, 1);
+  row->info = *info;
+  row->info.state = state;
+  note_change (node, row);
+}
+
+void
+wm_table_set_state (WmNode *node, WmMember *row, ww_member_state state)
+{
+  if (row->info.state == state)
+    return;
+  node->in_state[row->info.state]--;
+  node->in_state[state]++;
+  row->info.state = state;
+  row->since_us = node->now_us;
+  note_change (node, row);
+}
+
+static void
+remove_row (WmNode *node, guint number)
+{
+  WmMember *row = row_at (node, number);
+  guint last = node->rows->len - 1;
+
+  count_address (node, row->info.address, -1);
+  node->in_state[row->info.state]--;
+  g_hash_table_remove (node->index, GSIZE_TO_POINTER (row->info.id));
+  g_hash_table_remove (node->suspicions, GSIZE_TO_POINTER (row->info.id));
+  if (number != last)
+    {
+      *row = *row_at (node, last);
+      g_hash_table_insert (node->index, GSIZE_TO_POINTER (row->info.id), GUINT_TO_POINTER (number));
+    }
+  g_array_set_size (node->rows, last);
+}
+
+void
+wm_table_remove_old (WmNode *node)
+{
+  guint i;
+
+  for (i = node->rows->len; i-- > 1;)
+    {
+      const WmMember *row = row_at (node, i);
+
+      if (row->info.state >= WW_MEMBER_DEAD && node->now_us - row->since_us >= WM_DEAD_KEEP_US)
+        remove_row (node, i);
+    }
+}
+
+gboolean
+wm_is_live (const WmNode *node, const WmMember *row, guint64 exclude_id)
+{
+  return row->info.state <= WW_MEMBER_SUSPECT && row->info.id != exclude_id &&
+         row->info.id != node->settings.id;
+}
+
+gboolean
+wm_is_dead (const WmNode *node, const WmMember *row, guint64 argument)
+{
+  return row->info.state == WW_MEMBER_DEAD;
+}
+
+/* A few random tries, then a search from a random row, for filters that few rows pass. */
+WmMember *
+wm_pick (WmNode *node, WmFilter filter, guint64 argument)
+{
+  guint count = node->rows->len;
+  guint i, start;
+
+  for (i = 0; i < 8; i++)
+    {
+      WmMember *row = row_at (node, (guint) g_rand_int_range (node->random, 0, (gint32) count));
+
+      if (filter (node, row, argument))
+        return row;
+    }
+  start = (guint) g_rand_int_range (node->random, 0, (gint32) count);
+  for (i = 0; i < count; i++)
+    {
+      WmMember *row = row_at (node, (start + i) % count);
+
+      if (filter (node, row, argument))
+        return row;
+    }
+  return NULL;
+}
+
+guint
+wm_live_count (const WmNode *node)
+{
+  return node->in_state[WW_MEMBER_ALIVE] + node->in_state[WW_MEMBER_SUSPECT];
+}
+
+WmContact
+wm_contact (const WmMember *row)
+{
+  return (WmContact){ row->info.address, wm_member_control_port (&row->info) };
+}
+
+/* Picks up to @max different rows; @ids and @contacts have room for them. */
+guint
+wm_pick_many (
+    WmNode *node, WmFilter filter, guint64 argument, WmContact *contacts, guint64 *ids, guint max)
+{
+  guint count = 0;
+  guint tries;
+
+  for (tries = 0; tries < max * 3 && count < max; tries++)
+    {
+      const WmMember *row = wm_pick (node, filter, argument);
+      guint i;
+
+      if (row == NULL)
+        break;
+      for (i = 0; i < count && ids[i] != row->info.id; i++)
+        ;
+      if (i < count)
+        continue;
+      ids[count] = row->info.id;
+      contacts[count] = wm_contact (row);
+      count++;
+    }
+  return count;
+}
+
+static gint
+compare_ids (gconstpointer a, gconstpointer b)
+{
+  guint64 left = *(const guint64 *) a;
+  guint64 right = *(const guint64 *) b;
+
+  return left < right ? -1 : left > right;
+}
+
+/* Endpoints of the own service that are not dead, the own one left out. */
+GArray *
+wm_peers (WmNode *node)
+{
+  guint i;
+
+  if (!node->peers_stale)
+    return node->peers;
+  g_array_set_size (node->peers, 0);
+  for (i = 1; i < node->rows->len; i++)
+    {
+      const ww_member *info = &row_at (node, i)->info;
+
+      if (info->service_id == node->settings.service_id && info->state <= WW_MEMBER_SUSPECT)
+        g_array_append_val (node->peers, info->id);
+    }
+  g_array_sort (node->peers, compare_ids);
+  node->peers_stale = FALSE;
+  return node->peers;
+}
--- /dev/null
+++ b/member/wm-view.c
@@ -0,0 +1,115 @@
+#include "wm-private.h"
+
+#define WATCHERS 3
+#define WATCHER_SEED 0x7761746368657273
+
+GArray *
+wm_node_members (const WmNode *node)
+{
+  GArray *members = g_array_sized_new (FALSE, FALSE, sizeof (ww_member), node->rows->len);
+  guint i;
+
+  for (i = 0; i < node->rows->len; i++)
+    {
+      const ww_member *info = &g_array_index (node->rows, WmMember, i).info;
+
+      if (info->state <= WW_MEMBER_SUSPECT)
+        g_array_append_vals (members, info, 1);
+    }
+  return members;
+}
+
+GArray *
+wm_node_endpoints (const WmNode *node, guint64 service_id)
+{
+  GArray *members = g_array_new (FALSE, FALSE, sizeof (ww_member));
+  guint i;
+
+  for (i = 0; i < node->rows->len; i++)
+    {
+      const ww_member *info = &g_array_index (node->rows, WmMember, i).info;
+
+      if (info->service_id == service_id && info->role == WW_ROLE_AGENT &&
+          info->state <= WW_MEMBER_SUSPECT)
+        g_array_append_vals (members, info, 1);
+    }
+  return members;
+}
+
+gboolean
+wm_node_is_member (const WmNode *node, guint32 address)
+{
+  return g_hash_table_contains (node->addresses, GUINT_TO_POINTER (address));
+}
+
+static guint64
+watcher_rank (const ww_member *info)
+{
+  return wb_hash64 (&info->id, sizeof info->id, WATCHER_SEED);
+}
+
+static gboolean
+find_watcher (const WmNode *node)
+{
+  const ww_member *self = &wm_self (node)->info;
+  guint64 rank = watcher_rank (self);
+  guint above = 0;
+  guint i;
+
+  if (self->role != WW_ROLE_BALANCER || self->state != WW_MEMBER_ALIVE)
+    return FALSE;
+  for (i = 1; i < node->rows->len && above < WATCHERS; i++)
+    {
+      const ww_member *info = &g_array_index (node->rows, WmMember, i).info;
+
+      above += info->role == WW_ROLE_BALANCER && info->state <= WW_MEMBER_SUSPECT &&
+               watcher_rank (info) > rank;
+    }
+  return above < WATCHERS;
+}
+
+gboolean
+wm_node_is_watcher (const WmNode *node)
+{
+  return node->watcher_stale ? find_watcher (node) : node->watcher;
+}
+
+guint
+wm_node_count (const WmNode *node, ww_member_state state)
+{
+  g_return_val_if_fail (state <= WW_MEMBER_LEFT, 0);
+  return node->in_state[state];
+}
+
+const WbCounters *
+wm_node_counters (const WmNode *node)
+{
+  return node->counters;
+}
+
+/* Tells the caller of changes once for each call into the node. */
+void
+wm_notify (WmNode *node)
+{
+  if (node->watcher_stale)
+    {
+      node->watcher = find_watcher (node);
+      node->watcher_stale = FALSE;
+    }
+  if (!node->changed)
+    return;
+  node->changed = FALSE;
+  if (node->callbacks.members_changed != NULL)
+    node->callbacks.members_changed (node->callbacks.context);
+}
+
+/* Open hash tables of GLib hold 8-byte keys and values and 4-byte hashes, at least half full. */
+gsize
+wm_node_memory (const WmNode *node)
+{
+  gsize entries = g_hash_table_size (node->index) + g_hash_table_size (node->addresses);
+  gsize news = node->news.length * (sizeof (WmNews) + sizeof (GList) + 40);
+  gsize suspicions = g_hash_table_size (node->suspicions) * (sizeof (WmSuspicion) + 40);
+
+  return sizeof *node + node->rows->len * sizeof (WmMember) + entries * 40 + news + suspicions;
+}
--- /dev/null
+++ b/member/wm-zone.c
@@ -0,0 +1,176 @@
+#include "wm-private.h"
+
+#include <string.h>
+
+/* Bounds the table; a configuration has a few availability zones. */
+#define MAX_ZONES 64
+#define SWEEP_INTERVAL_US (5 * WB_US_PER_S)
+/* Reporters repeat their evidence, so that it ends by itself when the zone is back. */
+#define REPORT_INTERVAL_US (10 * WB_US_PER_S)
+#define EVIDENCE_KEEP_US (30 * WB_US_PER_S)
+#define ALIVE_QUIET_US (2 * WB_US_PER_S)
+
+static WmZone *
+find_zone (const WmNode *node, guint32 zone)
+{
+  guint i;
+
+  for (i = 0; i < node->zones->len; i++)
+    if (g_array_index (node->zones, WmZone, i).zone == zone)
+      return &g_array_index (node->zones, WmZone, i);
+  return NULL;
+}
+
+static WmZone *
+get_zone (WmNode *node, guint32 zone)
+{
+  WmZone *found = find_zone (node, zone);
+  WmZone fresh = {
+    .zone = zone, .alive_us = node->now_us, .sweep_us = node->now_us, .report_us = node->now_us
+  };
+
+  if (found != NULL || node->zones->len >= MAX_ZONES)
+    return found;
+  g_array_append_val (node->zones, fresh);
+  return find_zone (node, zone);
+}
+
+/* A member of the zone was heard. */
+void
+wm_zone_alive (WmNode *node, guint32 zone)
+{
+  WmZone *found = get_zone (node, zone);
+
+  if (found == NULL)
+    return;
+  found->alive_us = node->now_us;
+  found->n_failed = 0;
+}
+
+static void
+add_reporter (WmNode *node, WmZone *zone, guint64 id, guint32 reporter_zone, guint32 sequence)
+{
+  WmZoneReporter *reporter = NULL;
+  guint i;
+
+  for (i = 0; i < zone->n_reporters; i++)
+    {
+      WmZoneReporter *other = &zone->reporters[i];
+
+      if (other->id == id)
+        {
+          if (sequence <= other->sequence)
+            return;
+          reporter = other;
+          break;
+        }
+      if (node->now_us - other->heard_us >= EVIDENCE_KEEP_US)
+        reporter = other;
+    }
+  if (reporter == NULL)
+    {
+      /* A few reporters are enough; those beyond are neither kept nor passed on. */
+      if (zone->n_reporters == WM_ZONE_REPORTERS)
+        return;
+      reporter = &zone->reporters[zone->n_reporters++];
+    }
+  *reporter = (WmZoneReporter){ id, reporter_zone, sequence, node->now_us };
+  wb_counters_add (node->counters, WM_COUNTER_ZONE_EVIDENCE, 1);
+  node->changed = TRUE;
+  wm_news_zone (node, zone->zone, id);
+}
+
+static void
+report (WmNode *node, WmZone *zone)
+{
+  if (zone->n_failed < WM_ZONE_MIN_FAILED || node->now_us < zone->report_us)
+    return;
+  zone->report_us = node->now_us + REPORT_INTERVAL_US;
+  zone->sequence++;
+  add_reporter (node, zone, node->settings.id, node->settings.zone, zone->sequence);
+}
+
+/* Return: whether further members of the zone are to be probed */
+gboolean
+wm_zone_failed (WmNode *node, const WmMember *row)
+{
+  WmZone *zone = get_zone (node, row->info.zone);
+  guint i;
+
+  if (zone == NULL || row->info.zone == node->settings.zone)
+    return FALSE;
+  for (i = 0; i < zone->n_failed && zone->failed[i] != row->info.id; i++)
+    ;
+  if (i == zone->n_failed && i < WM_ZONE_MIN_FAILED)
+    zone->failed[zone->n_failed++] = row->info.id;
+  report (node, zone);
+  if (node->now_us < zone->sweep_us || zone->n_failed >= WM_ZONE_MIN_FAILED)
+    return FALSE;
+  zone->sweep_us = node->now_us + SWEEP_INTERVAL_US;
+  return TRUE;
+}
+
+void
+wm_zone_apply (WmNode *node, const ww_zone_evidence *evidence)
+{
+  const WmMember *reporter = wm_find (node, evidence->reporter_id);
+  WmZone *zone = find_zone (node, evidence->zone);
+
+  /* A zone of which no member is known cannot matter. */
+  if (reporter == NULL || zone == NULL || evidence->reporter_zone == evidence->zone ||
+      reporter->info.zone != evidence->reporter_zone || evidence->reporter_id == node->settings.id)
+    return;
+  add_reporter (node, zone, evidence->reporter_id, evidence->reporter_zone, evidence->sequence);
+}
+
+gboolean
+wm_zone_item (const WmNode *node, guint32 zone, guint64 reporter, ww_zone_evidence *evidence)
+{
+  const WmZone *found = find_zone (node, zone);
+  guint i;
+
+  for (i = 0; found != NULL && i < found->n_reporters; i++)
+    if (found->reporters[i].id == reporter &&
+        node->now_us - found->reporters[i].heard_us < EVIDENCE_KEEP_US)
+      {
+        *evidence = (ww_zone_evidence){ .zone = zone,
+                                        .reporter_id = reporter,
+                                        .reporter_zone = found->reporters[i].zone,
+                                        .sequence = found->reporters[i].sequence };
+        return TRUE;
+      }
+  return FALSE;
+}
+
+/* Enough reporters in enough other zones. */
+gboolean
+wm_zone_has_evidence (const WmNode *node, guint32 zone)
+{
+  const WmZone *found = find_zone (node, zone);
+  guint zones = 0, count = 0, others, i, j;
+
+  if (found == NULL || found->n_reporters < WM_ZONE_MIN_REPORTERS)
+    return FALSE;
+  for (i = 0; i < found->n_reporters; i++)
+    {
+      const WmZoneReporter *reporter = &found->reporters[i];
+
+      if (node->now_us - reporter->heard_us >= EVIDENCE_KEEP_US)
+        continue;
+      count++;
+      for (j = 0; j < i && found->reporters[j].zone != reporter->zone; j++)
+        ;
+      zones += j == i;
+    }
+  others = node->zones->len - 1;
+  return count >= WM_ZONE_MIN_REPORTERS && zones >= MIN (2, others);
+}
+
+gboolean
+wm_node_zone_lost (const WmNode *node, guint32 zone)
+{
+  const WmZone *found = find_zone (node, zone);
+
+  return found != NULL && node->now_us - found->alive_us >= ALIVE_QUIET_US &&
+         wm_zone_has_evidence (node, zone);
+}
--- a/member/wm.h
+++ b/member/wm.h
@@ -11,6 +11,31 @@
 /** Flags of struct ww_member. */
 #define WM_MEMBER_DRAINING 0x1
 
+/**
+ * wm_incarnation_epoch() - the part of an incarnation number that changes when a process starts
+ *
+ * The rest rises on refutations, resumes and changes of the flags.
+ */
+static inline guint64
+wm_incarnation_epoch (guint64 incarnation)
+{
+  return incarnation >> 32;
+}
+
+/** wm_member_control_port() - struct ww_member keeps the control port in the high half of ports */
+static inline guint16
+wm_member_control_port (const ww_member *member)
+{
+  return (guint16) (member->ports >> 16);
+}
+
+/** wm_member_data_port() - struct ww_member keeps the data port in the low half of ports */
+static inline guint16
+wm_member_data_port (const ww_member *member)
+{
+  return (guint16) (member->ports & 0xffff);
+}
+
 /**
  * struct WmSettings - what a node says of itself
  * @service_id: 0 for a balancer
@@ -33,8 +58,11 @@
  * @send: sends a control datagram
  * @members_changed: a member joined, left, was suspected, declared dead, refuted or changed its
  * flags
- * @config_complete: all parts of a newer configuration are here; the callee parses it and calls
- *   wm_node_set_config() when it takes it into effect
+ * @config_complete: all parts of a newer configuration are here, from another member or from
+ *   wm_node_offer_config(); the callee parses it and calls wm_node_set_config() when it takes it
+ *   into effect
+ * @root_hashes: (transfer full): hashes, as hexadecimal strings, of the parts that a root object
+ *   lists, or NULL when it is no root object; the array frees its elements
  */
 typedef struct
 {
@@ -42,6 +70,7 @@
   void (*send) (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length);
   void (*members_changed) (gpointer context);
   void (*config_complete) (gpointer context, guint64 version, GBytes *root, GHashTable *parts);
+  GPtrArray *(*root_hashes) (gpointer context, GBytes *root);
 } WmCallbacks;
 
 typedef struct WmNode WmNode;
@@ -107,6 +136,23 @@
 void wm_node_set_config (WmNode *node, guint64 version, guint64 digest);
 guint64 wm_node_config_version (const WmNode *node);
 
+/**
+ * wm_node_ready() - whether a starting node may begin its work
+ *
+ * It has the list of members, has heard the configuration version of 3 members, or of all that it
+ * reached within 2 s, and has fetched the newest of these versions.
+ */
+gboolean wm_node_ready (const WmNode *node);
+
+/**
+ * wm_node_charge() - counts bytes that the process sent itself, headers included, against the
+ * limit on control traffic
+ */
+void wm_node_charge (WmNode *node, gsize bytes, gint64 now_us);
+
+/** wm_node_memory() - estimate of the bytes held by the member table and its indices */
+gsize wm_node_memory (const WmNode *node);
+
 const WbCounters *wm_node_counters (const WmNode *node);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (WmNode, wm_node_free)
--- a/wire/ww-proto.h
+++ b/wire/ww-proto.h
@@ -22,7 +22,7 @@
 #define WW_MAX_PARTS 4096
 #define WW_MAX_CHUNK 1024
 #define WW_MAX_TEXT 1024
-#define WW_MAX_MEMBERS 16
+#define WW_MAX_MEMBERS 21
 #define WW_MAX_NAME 64
 
 enum ww_encap_kind {
@@ -36,9 +36,9 @@
 typedef enum ww_encap_kind ww_encap_kind;
 
 struct ww_encap {
-	unsigned int magic;
+	u_int magic;
 	ww_encap_kind kind;
-	unsigned int hops;
+	u_int hops;
 	u_quad_t service_id;
 	u_quad_t config_version;
 	u_quad_t home_id;
@@ -47,32 +47,32 @@
 typedef struct ww_encap ww_encap;
 
 struct ww_flow {
-	unsigned int client_address;
-	unsigned int service_address;
-	unsigned int ports;
-	unsigned int protocol;
+	u_int client_address;
+	u_int service_address;
+	u_int ports;
+	u_int protocol;
 };
 typedef struct ww_flow ww_flow;
 
 struct ww_flow_entry {
 	ww_flow flow;
-	unsigned int flags;
+	u_int flags;
 };
 typedef struct ww_flow_entry ww_flow_entry;
 
 struct ww_occupancy {
-	unsigned int slots;
-	unsigned int busy;
-	unsigned int waiting_short;
-	unsigned int waiting_long;
-	unsigned int flags;
+	u_int slots;
+	u_int busy;
+	u_int waiting_short;
+	u_int waiting_long;
+	u_int flags;
 };
 typedef struct ww_occupancy ww_occupancy;
 
 struct ww_register {
 	u_quad_t incarnation;
 	struct {
-		unsigned int flows_len;
+		u_int flows_len;
 		ww_flow_entry *flows_val;
 	} flows;
 };
@@ -85,13 +85,13 @@
 typedef struct ww_release ww_release;
 
 struct ww_occupancy_request {
-	unsigned int request_id;
+	u_int request_id;
 	ww_occupancy occupancy;
 };
 typedef struct ww_occupancy_request ww_occupancy_request;
 
 struct ww_occupancy_reply {
-	unsigned int request_id;
+	u_int request_id;
 	ww_occupancy occupancy;
 };
 typedef struct ww_occupancy_reply ww_occupancy_reply;
@@ -102,8 +102,8 @@
 typedef struct ww_offer ww_offer;
 
 struct ww_pull {
-	unsigned int pull_id;
-	unsigned int short_only;
+	u_int pull_id;
+	u_int short_only;
 	ww_occupancy occupancy;
 };
 typedef struct ww_pull ww_pull;
@@ -133,7 +133,7 @@
 typedef struct ww_peer_body ww_peer_body;
 
 struct ww_peer {
-	unsigned int magic;
+	u_int magic;
 	u_quad_t service_id;
 	u_quad_t sender_id;
 	ww_peer_body body;
@@ -158,41 +158,47 @@
 	u_quad_t id;
 	u_quad_t incarnation;
 	u_quad_t service_id;
-	unsigned int address;
-	unsigned int ports;
-	unsigned int zone;
-	unsigned int host;
+	u_int address;
+	u_int ports;
+	u_int zone;
+	u_int host;
 	ww_role role;
 	ww_member_state state;
-	unsigned int flags;
+	u_int flags;
 };
 typedef struct ww_member ww_member;
 
 struct ww_zone_evidence {
-	unsigned int zone;
+	u_int zone;
 	u_quad_t reporter_id;
-	unsigned int reporter_zone;
-	unsigned int sequence;
+	u_int reporter_zone;
+	u_int sequence;
 };
 typedef struct ww_zone_evidence ww_zone_evidence;
 
 enum ww_gossip_kind {
 	WW_GOSSIP_MEMBER = 1,
 	WW_GOSSIP_ZONE = 2,
+	WW_GOSSIP_STATE = 3,
 };
 typedef enum ww_gossip_kind ww_gossip_kind;
 
-struct ww_gossip_member {
-	ww_member member;
+struct ww_gossip_state {
+	u_quad_t id;
+	u_quad_t incarnation;
 	u_quad_t reporter_id;
+	u_quad_t second_id;
+	ww_member_state state;
+	u_int age_ms;
 };
-typedef struct ww_gossip_member ww_gossip_member;
+typedef struct ww_gossip_state ww_gossip_state;
 
 struct ww_gossip_item {
 	ww_gossip_kind kind;
 	union {
-		ww_gossip_member member;
+		ww_member member;
 		ww_zone_evidence zone;
+		ww_gossip_state state;
 	} ww_gossip_item_u;
 };
 typedef struct ww_gossip_item ww_gossip_item;
@@ -208,7 +214,7 @@
 	u_quad_t incarnation;
 	ww_config_id config;
 	struct {
-		unsigned int items_len;
+		u_int items_len;
 		ww_gossip_item *items_val;
 	} items;
 };
@@ -222,8 +228,8 @@
 
 struct ww_ping_req {
 	u_quad_t target_id;
-	unsigned int address;
-	unsigned int port;
+	u_int address;
+	u_int port;
 	ww_gossip gossip;
 };
 typedef struct ww_ping_req ww_ping_req;
@@ -238,18 +244,20 @@
 struct ww_config_fetch {
 	u_quad_t sender_id;
 	u_quad_t config_version;
+	u_quad_t base_version;
 	char hash[32];
-	unsigned int offset;
+	u_int offset;
 };
 typedef struct ww_config_fetch ww_config_fetch;
 
 struct ww_config_chunk {
 	u_quad_t config_version;
+	u_quad_t base_version;
 	char hash[32];
-	unsigned int offset;
-	unsigned int total;
+	u_int offset;
+	u_int total;
 	struct {
-		unsigned int data_len;
+		u_int data_len;
 		char *data_val;
 	} data;
 };
@@ -260,42 +268,57 @@
 	u_quad_t id;
 	ww_role role;
 	u_quad_t config_version;
-	unsigned int members_alive;
-	unsigned int members_suspect;
-	unsigned int members_dead;
-	unsigned int flows_held;
-	unsigned int flows_waiting;
-	unsigned int draining;
+	u_int members_alive;
+	u_int members_suspect;
+	u_int members_dead;
+	u_int flows_held;
+	u_int flows_waiting;
+	u_int draining;
 	u_quad_t refusals;
 	u_quad_t uptime_ms;
 };
 typedef struct ww_status_reply ww_status_reply;
 
 struct ww_metrics_request {
-	unsigned int offset;
+	u_int offset;
 };
 typedef struct ww_metrics_request ww_metrics_request;
 
 struct ww_metrics_reply {
-	unsigned int offset;
-	unsigned int total;
+	u_int offset;
+	u_int total;
 	struct {
-		unsigned int text_len;
+		u_int text_len;
 		char *text_val;
 	} text;
 };
 typedef struct ww_metrics_reply ww_metrics_reply;
 
+struct ww_join {
+	ww_member member;
+	u_quad_t target_id;
+	u_quad_t target_incarnation;
+	ww_member_state target_state;
+};
+typedef struct ww_join ww_join;
+
 struct ww_members_request {
-	unsigned int offset;
+	u_quad_t sender_id;
+	u_int bucket;
+	u_int buckets;
 };
 typedef struct ww_members_request ww_members_request;
 
 struct ww_members_reply {
-	unsigned int offset;
-	unsigned int total;
+	u_quad_t sender_id;
+	ww_config_id config;
+	u_int bucket;
+	u_int buckets;
+	u_int part;
+	u_int parts;
+	u_int total;
 	struct {
-		unsigned int members_len;
+		u_int members_len;
 		ww_member *members_val;
 	} members;
 };
@@ -310,6 +333,7 @@
 	WW_PROC_STATUS = 5,
 	WW_PROC_METRICS = 6,
 	WW_PROC_MEMBERS = 7,
+	WW_PROC_JOIN = 8,
 };
 typedef enum ww_procedure ww_procedure;
 
@@ -335,7 +359,7 @@
 extern  bool_t xdr_ww_member (XDR *, ww_member*);
 extern  bool_t xdr_ww_zone_evidence (XDR *, ww_zone_evidence*);
 extern  bool_t xdr_ww_gossip_kind (XDR *, ww_gossip_kind*);
-extern  bool_t xdr_ww_gossip_member (XDR *, ww_gossip_member*);
+extern  bool_t xdr_ww_gossip_state (XDR *, ww_gossip_state*);
 extern  bool_t xdr_ww_gossip_item (XDR *, ww_gossip_item*);
 extern  bool_t xdr_ww_config_id (XDR *, ww_config_id*);
 extern  bool_t xdr_ww_gossip (XDR *, ww_gossip*);
@@ -347,6 +371,7 @@
 extern  bool_t xdr_ww_status_reply (XDR *, ww_status_reply*);
 extern  bool_t xdr_ww_metrics_request (XDR *, ww_metrics_request*);
 extern  bool_t xdr_ww_metrics_reply (XDR *, ww_metrics_reply*);
+extern  bool_t xdr_ww_join (XDR *, ww_join*);
 extern  bool_t xdr_ww_members_request (XDR *, ww_members_request*);
 extern  bool_t xdr_ww_members_reply (XDR *, ww_members_reply*);
 extern  bool_t xdr_ww_procedure (XDR *, ww_procedure*);
@@ -371,7 +396,7 @@
 extern bool_t xdr_ww_member ();
 extern bool_t xdr_ww_zone_evidence ();
 extern bool_t xdr_ww_gossip_kind ();
-extern bool_t xdr_ww_gossip_member ();
+extern bool_t xdr_ww_gossip_state ();
 extern bool_t xdr_ww_gossip_item ();
 extern bool_t xdr_ww_config_id ();
 extern bool_t xdr_ww_gossip ();
@@ -383,6 +408,7 @@
 extern bool_t xdr_ww_status_reply ();
 extern bool_t xdr_ww_metrics_request ();
 extern bool_t xdr_ww_metrics_reply ();
+extern bool_t xdr_ww_join ();
 extern bool_t xdr_ww_members_request ();
 extern bool_t xdr_ww_members_reply ();
 extern bool_t xdr_ww_procedure ();
--- a/wire/ww-proto.x
+++ b/wire/ww-proto.x
@@ -13,7 +13,7 @@
 const WW_MAX_PARTS = 4096;
 const WW_MAX_CHUNK = 1024;
 const WW_MAX_TEXT = 1024;
-const WW_MAX_MEMBERS = 16;
+const WW_MAX_MEMBERS = 21;
 const WW_MAX_NAME = 64;
 
 /* Data plane: header in front of an IP packet. */
@@ -158,19 +158,30 @@
 
 enum ww_gossip_kind {
   WW_GOSSIP_MEMBER = 1,
-  WW_GOSSIP_ZONE = 2
+  WW_GOSSIP_ZONE = 2,
+  WW_GOSSIP_STATE = 3
 };
 
-struct ww_gossip_member {
-  ww_member member;
+/*
+ * A change of state without the rest of the record. A suspicion names up to two members whose own probes failed, and
+ * its age, so that every node lets it end at about the same time.
+ */
+struct ww_gossip_state {
+  unsigned hyper id;
+  unsigned hyper incarnation;
   unsigned hyper reporter_id;
+  unsigned hyper second_id;
+  ww_member_state state;
+  unsigned age_ms;
 };
 
 union ww_gossip_item switch (ww_gossip_kind kind) {
 case WW_GOSSIP_MEMBER:
-  ww_gossip_member member;
+  ww_member member;
 case WW_GOSSIP_ZONE:
   ww_zone_evidence zone;
+case WW_GOSSIP_STATE:
+  ww_gossip_state state;
 };
 
 struct ww_config_id {
@@ -203,15 +214,22 @@
   ww_gossip gossip;
 };
 
+/*
+ * A hash of zeros asks for the root object of config_version, as the difference from the root object of base_version
+ * when the sender of the reply still has that one.
+ */
 struct ww_config_fetch {
   unsigned hyper sender_id;
   unsigned hyper config_version;
+  unsigned hyper base_version;
   opaque hash[32];
   unsigned offset;
 };
 
+/* total is 0 when the sender does not have the object; base_version is 0 when the data is the object itself. */
 struct ww_config_chunk {
   unsigned hyper config_version;
+  unsigned hyper base_version;
   opaque hash[32];
   unsigned offset;
   unsigned total;
@@ -243,12 +261,29 @@
   opaque text<WW_MAX_CHUNK>;
 };
 
+/* The only message accepted from an unknown address: the address inside has to be that of the sender. */
+struct ww_join {
+  ww_member member;
+  unsigned hyper target_id;
+  unsigned hyper target_incarnation;
+  ww_member_state target_state;
+};
+
+/* Members are divided into buckets by id, so that the answers of several members can be combined. */
 struct ww_members_request {
-  unsigned offset;
+  unsigned hyper sender_id;
+  unsigned bucket;
+  unsigned buckets;
 };
 
+/* A bucket takes one or more parts; total is the number of all members. */
 struct ww_members_reply {
-  unsigned offset;
+  unsigned hyper sender_id;
+  ww_config_id config;
+  unsigned bucket;
+  unsigned buckets;
+  unsigned part;
+  unsigned parts;
   unsigned total;
   ww_member members<WW_MAX_MEMBERS>;
 };
@@ -261,5 +296,6 @@
   WW_PROC_CONFIG_FETCH = 4,
   WW_PROC_STATUS = 5,
   WW_PROC_METRICS = 6,
-  WW_PROC_MEMBERS = 7
+  WW_PROC_MEMBERS = 7,
+  WW_PROC_JOIN = 8
 };
--- a/wire/ww-proto_xdr.c
+++ b/wire/ww-proto_xdr.c
@@ -445,14 +445,22 @@
 }
 
 bool_t
-xdr_ww_gossip_member (XDR *xdrs, ww_gossip_member *objp)
+xdr_ww_gossip_state (XDR *xdrs, ww_gossip_state *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_ww_member (xdrs, &objp->member))
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->reporter_id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->second_id))
+		 return FALSE;
+	 if (!xdr_ww_member_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -465,13 +473,17 @@
 		 return FALSE;
 	switch (objp->kind) {
 	case WW_GOSSIP_MEMBER:
-		 if (!xdr_ww_gossip_member (xdrs, &objp->ww_gossip_item_u.member))
+		 if (!xdr_ww_member (xdrs, &objp->ww_gossip_item_u.member))
 			 return FALSE;
 		break;
 	case WW_GOSSIP_ZONE:
 		 if (!xdr_ww_zone_evidence (xdrs, &objp->ww_gossip_item_u.zone))
 			 return FALSE;
 		break;
+	case WW_GOSSIP_STATE:
+		 if (!xdr_ww_gossip_state (xdrs, &objp->ww_gossip_item_u.state))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -559,6 +571,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->hash, 32))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
@@ -574,6 +588,8 @@
 	int i;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->hash, 32))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
@@ -718,12 +734,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ww_join (XDR *xdrs, ww_join *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ww_member (xdrs, &objp->member))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target_incarnation))
+		 return FALSE;
+	 if (!xdr_ww_member_state (xdrs, &objp->target_state))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ww_members_request (XDR *xdrs, ww_members_request *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->offset))
+	 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bucket))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->buckets))
 		 return FALSE;
 	return TRUE;
 }
@@ -733,7 +769,78 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->offset))
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
+			 return FALSE;
+		 if (!xdr_ww_config_id (xdrs, &objp->config))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->bucket))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->buckets))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->part))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->total))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->bucket);
+		IXDR_PUT_U_LONG(buf, objp->buckets);
+		IXDR_PUT_U_LONG(buf, objp->part);
+		IXDR_PUT_U_LONG(buf, objp->parts);
+		IXDR_PUT_U_LONG(buf, objp->total);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, WW_MAX_MEMBERS,
+			sizeof (ww_member), (xdrproc_t) xdr_ww_member))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
+			 return FALSE;
+		 if (!xdr_ww_config_id (xdrs, &objp->config))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->bucket))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->buckets))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->part))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->total))
+				 return FALSE;
+
+		} else {
+		objp->bucket = IXDR_GET_U_LONG(buf);
+		objp->buckets = IXDR_GET_U_LONG(buf);
+		objp->part = IXDR_GET_U_LONG(buf);
+		objp->parts = IXDR_GET_U_LONG(buf);
+		objp->total = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, WW_MAX_MEMBERS,
+			sizeof (ww_member), (xdrproc_t) xdr_ww_member))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
+		 return FALSE;
+	 if (!xdr_ww_config_id (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bucket))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->buckets))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->total))
 		 return FALSE;
