--- /dev/null
+++ b/tests/test-apply.c
@@ -0,0 +1,523 @@
+#include "wc-load.h"
+#include "wp-apply.h"
+
+#include <string.h>
+
+#define TIMEOUT_US (30 * WB_US_PER_S)
+#define SERVICE                                                                                    \
+  "[[service]]\nname = \"desk\"\naddress = \"198.51.100.1\"\nports = [{ port = 80 }]\n"
+
+#define OTHER_SERVICE                                                                              \
+  "[[service]]\nname = \"sheets\"\naddress = \"198.51.100.2\"\nports = [{ port = 80 }]\n"
+
+/*
+ * FAULT_REFUSED: no effect, and the client knows it
+ * FAULT_DROPPED: no effect, but the client cannot know it
+ * FAULT_LOST: the effect is there, the answer is lost
+ * FAULT_LATE: the answer is lost and the write arrives after the next call
+ * FAULT_RACE: another operator moves the root just before the call
+ */
+typedef enum
+{
+  FAULT_NONE,
+  FAULT_REFUSED,
+  FAULT_DROPPED,
+  FAULT_LOST,
+  FAULT_LATE,
+  FAULT_RACE,
+  N_FAULTS,
+} Fault;
+
+/* An object store with faults, and one call of the transaction under test. */
+typedef struct
+{
+  GHashTable *objects; /* key to WpObject */
+  Fault faults[64];    /* by number of the call */
+  Fault outage;        /* of all calls from @outage_from on */
+  guint outage_from;
+  guint calls;
+  gboolean pending;
+  gchar *key;
+  GBytes *value; /* NULL for a read */
+  guint64 if_version;
+  gchar *late_key;
+  GBytes *late_value;
+  guint64 late_if_version;
+  guint races;
+  guint applies_per_race;
+  gboolean done;
+  WpApplyOutcome outcome;
+  guint64 version;
+  gchar *other_operator;
+  gchar *other_apply_id;
+} Store;
+
+static void
+object_free (gpointer data)
+{
+  WpObject *object = data;
+
+  g_bytes_unref (object->value);
+  g_free (object);
+}
+
+static void
+store_init (Store *store)
+{
+  memset (store, 0, sizeof *store);
+  store->applies_per_race = 1;
+  store->objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+}
+
+static void
+store_clear (Store *store)
+{
+  g_hash_table_unref (store->objects);
+  g_free (store->key);
+  g_clear_pointer (&store->value, g_bytes_unref);
+  g_free (store->late_key);
+  g_clear_pointer (&store->late_value, g_bytes_unref);
+  g_free (store->other_operator);
+  g_free (store->other_apply_id);
+}
+
+static WcRoot *
+read_root (Store *store)
+{
+  const WpObject *object = g_hash_table_lookup (store->objects, WP_KEY_ROOT);
+
+  return object != NULL ? wc_root_parse (object->value, NULL) : NULL;
+}
+
+/* Every root ever stored must list only parts that are there. */
+static void
+check_root_complete (Store *store)
+{
+  WcRoot *root = read_root (store);
+  guint i;
+
+  g_assert_nonnull (root);
+  for (i = 0; i < root->hashes->len; i++)
+    {
+      g_autofree gchar *key = g_strconcat (WP_KEY_PARTS, g_ptr_array_index (root->hashes, i), NULL);
+
+      g_assert_true (g_hash_table_contains (store->objects, key));
+    }
+  wc_root_free (root);
+}
+
+/* Returns the new version, or 0 when the condition does not hold. */
+static guint64
+store_write (Store *store, const gchar *key, GBytes *value, guint64 if_version)
+{
+  WpObject *object = g_hash_table_lookup (store->objects, key);
+
+  if ((object != NULL ? object->version : 0) != if_version)
+    return 0;
+  if (object == NULL)
+    {
+      object = g_new0 (WpObject, 1);
+      g_hash_table_insert (store->objects, g_strdup (key), object);
+    }
+  else
+    g_bytes_unref (object->value);
+  object->value = g_bytes_ref (value);
+  object->version = if_version + 1;
+  if (strcmp (key, WP_KEY_ROOT) == 0)
+    check_root_complete (store);
+  return object->version;
+}
+
+static void
+other_operator_applies (Store *store)
+{
+  g_autofree gchar *text = g_strdup_printf (SERVICE "slots = %u\n", 20 + store->races);
+  g_autofree gchar *apply_id = g_strdup_printf ("other-%u", store->races++);
+  g_autoptr (WcConfig) config = wc_load_text ("t.toml", text, NULL);
+  WcParts *parts = wc_parts_encode (config, NULL);
+  const WpObject *object = g_hash_table_lookup (store->objects, WP_KEY_ROOT);
+  WcRoot *previous = read_root (store);
+  WcRoot *root = wc_root_new (previous, apply_id, "ion", parts);
+  g_autoptr (GBytes) bytes = wc_root_encode (root, NULL);
+  guint i;
+
+  for (i = 0; i < parts->hashes->len; i++)
+    {
+      const gchar *hash = g_ptr_array_index (parts->hashes, i);
+      g_autofree gchar *key = g_strconcat (WP_KEY_PARTS, hash, NULL);
+
+      store_write (store, key, g_hash_table_lookup (parts->bodies, hash), 0);
+    }
+  g_assert_cmpuint (store_write (store, WP_KEY_ROOT, bytes, object != NULL ? object->version : 0),
+                    !=, 0);
+  wc_root_free (previous);
+  wc_root_free (root);
+  wc_parts_free (parts);
+}
+
+static void
+get (gpointer context, const gchar *key)
+{
+  Store *store = context;
+
+  g_assert_false (store->pending);
+  store->pending = TRUE;
+  g_free (store->key);
+  store->key = g_strdup (key);
+  g_clear_pointer (&store->value, g_bytes_unref);
+}
+
+static void
+put (gpointer context, const gchar *key, GBytes *value, guint64 if_version)
+{
+  Store *store = context;
+
+  get (context, key);
+  store->value = g_bytes_ref (value);
+  store->if_version = if_version;
+}
+
+static void
+done (gpointer context, const WpApplyResult *result)
+{
+  Store *store = context;
+
+  g_assert_false (store->done);
+  store->done = TRUE;
+  store->outcome = result->outcome;
+  store->version = result->version;
+  g_free (store->other_operator);
+  store->other_operator = g_strdup (result->other.operator_name);
+  g_free (store->other_apply_id);
+  store->other_apply_id = g_strdup (result->other.apply_id);
+}
+
+static void
+answer_with_error (WpApply *apply, WpError code, gint64 now_us)
+{
+  g_autoptr (GError) error = g_error_new_literal (WP_ERROR, (gint) code, "fault");
+
+  wp_apply_answer (apply, NULL, error, now_us);
+}
+
+static void
+serve_late_write (Store *store)
+{
+  if (store->late_key != NULL)
+    store_write (store, store->late_key, store->late_value, store->late_if_version);
+  g_clear_pointer (&store->late_key, g_free);
+  g_clear_pointer (&store->late_value, g_bytes_unref);
+}
+
+static void
+serve_read (Store *store, WpApply *apply, Fault fault, gint64 now_us)
+{
+  const WpObject *object = g_hash_table_lookup (store->objects, store->key);
+
+  if (fault != FAULT_NONE && fault != FAULT_RACE)
+    answer_with_error (apply, WP_ERROR_UNREACHABLE, now_us);
+  else if (object == NULL)
+    answer_with_error (apply, WP_ERROR_NOT_FOUND, now_us);
+  else
+    {
+      WpObject copy = { .version = object->version, .value = g_bytes_ref (object->value) };
+
+      wp_apply_answer (apply, &copy, NULL, now_us);
+      g_bytes_unref (copy.value);
+    }
+}
+
+static void
+serve_write (Store *store, WpApply *apply, Fault fault, gint64 now_us)
+{
+  WpObject written = { 0 };
+
+  if (fault == FAULT_REFUSED)
+    {
+      answer_with_error (apply, WP_ERROR_UNREACHABLE, now_us);
+      return;
+    }
+  if (fault == FAULT_LATE)
+    {
+      store->late_key = g_strdup (store->key);
+      store->late_value = g_bytes_ref (store->value);
+      store->late_if_version = store->if_version;
+    }
+  else if (fault != FAULT_DROPPED)
+    written.version = store_write (store, store->key, store->value, store->if_version);
+  if (fault != FAULT_NONE && fault != FAULT_RACE)
+    answer_with_error (apply, WP_ERROR_OUTCOME_UNKNOWN, now_us);
+  else if (written.version == 0)
+    answer_with_error (apply, WP_ERROR_CONFLICT, now_us);
+  else
+    wp_apply_answer (apply, &written, NULL, now_us);
+}
+
+static void
+serve (Store *store, WpApply *apply, gint64 now_us)
+{
+  Fault fault =
+      store->calls < G_N_ELEMENTS (store->faults) ? store->faults[store->calls] : FAULT_NONE;
+  gboolean late = store->late_key != NULL;
+  guint i;
+
+  if (store->outage != FAULT_NONE && store->calls >= store->outage_from)
+    fault = store->outage;
+  store->calls++;
+  store->pending = FALSE;
+  for (i = 0; fault == FAULT_RACE && i < store->applies_per_race; i++)
+    other_operator_applies (store);
+  if (store->value == NULL)
+    serve_read (store, apply, fault, now_us);
+  else
+    serve_write (store, apply, fault, now_us);
+  if (late)
+    serve_late_write (store);
+}
+
+/* Runs one apply to its end under virtual time. */
+static void
+run_apply (Store *store, const WcConfig *config, const gchar *apply_id, guint64 expected)
+{
+  WcParts *parts = wc_parts_encode (config, NULL);
+  WpApplyRequest request = { .parts = parts,
+                             .apply_id = apply_id,
+                             .operator_name = "ana",
+                             .expected_version = expected,
+                             .timeout_us = TIMEOUT_US };
+  WpApplyCallbacks callbacks = { .context = store, .get = get, .put = put, .done = done };
+  WpApply *apply = wp_apply_new (&request, &callbacks, 1);
+  gint64 now_us = 0;
+
+  store->done = FALSE;
+  store->calls = 0;
+  wp_apply_start (apply, now_us);
+  while (!store->done)
+    {
+      if (!store->pending)
+        {
+          g_assert_cmpint (wp_apply_next_us (apply), !=, WB_NEVER);
+          now_us = MAX (now_us, wp_apply_next_us (apply));
+          wp_apply_tick (apply, now_us);
+        }
+      else
+        serve (store, apply, now_us);
+      g_assert_cmpint (now_us, <=, TIMEOUT_US);
+    }
+  wp_apply_free (apply);
+  wc_parts_free (parts);
+}
+
+static gboolean
+root_names (Store *store, const gchar *apply_id)
+{
+  WcRoot *root = read_root (store);
+  gboolean found = root != NULL && strcmp (root->last.apply_id, apply_id) == 0;
+  guint i;
+
+  for (i = 0; root != NULL && i < root->history->len; i++)
+    if (strcmp (((WcApplyRecord *) g_ptr_array_index (root->history, i))->apply_id, apply_id) == 0)
+      found = TRUE;
+  wc_root_free (root);
+  return found;
+}
+
+/* What the transaction reports must be what the store holds. */
+static void
+check_outcome (Store *store, const gchar *apply_id)
+{
+  gboolean applied = root_names (store, apply_id);
+
+  switch (store->outcome)
+    {
+    case WP_APPLY_DONE:
+      g_assert_true (applied);
+      break;
+    case WP_APPLY_UNKNOWN:
+      break;
+    case WP_APPLY_CONFLICT:
+      g_assert_false (applied);
+      g_assert_cmpstr (store->other_operator, ==, "ion");
+      g_assert_true (g_str_has_prefix (store->other_apply_id, "other-"));
+      break;
+    case WP_APPLY_UNCHANGED:
+    case WP_APPLY_UNREACHABLE:
+    case WP_APPLY_FAILED:
+      g_assert_false (applied);
+      break;
+    }
+}
+
+typedef struct
+{
+  WcConfig *first;
+  WcConfig *second;
+} Configs;
+
+static Configs
+load_configs (void)
+{
+  Configs configs = { wc_load_text ("t.toml", SERVICE, NULL),
+                      wc_load_text ("t.toml", SERVICE "slots = 9\n" OTHER_SERVICE, NULL) };
+
+  return configs;
+}
+
+static void
+clear_configs (Configs *configs)
+{
+  wc_config_unref (configs->first);
+  wc_config_unref (configs->second);
+}
+
+/* A store in which version 1 has been applied. */
+static void
+prepare (Store *store, const Configs *configs)
+{
+  store_init (store);
+  run_apply (store, configs->first, "first", WP_APPLY_ANY_VERSION);
+  g_assert_cmpint (store->outcome, ==, WP_APPLY_DONE);
+}
+
+/* Guards against an apply of many parts when few changed, and against a version that is skipped. */
+static void
+test_plain (void)
+{
+  Configs configs = load_configs ();
+  Store store;
+
+  prepare (&store, &configs);
+  g_assert_cmpuint (store.version, ==, 1);
+  g_assert_cmpuint (store.calls, ==, 5); /* read, 3 parts, root */
+  run_apply (&store, configs.second, "second", 1);
+  g_assert_cmpint (store.outcome, ==, WP_APPLY_DONE);
+  g_assert_cmpuint (store.version, ==, 2);
+  g_assert_cmpuint (store.calls, ==, 4); /* read, 2 parts, root */
+  run_apply (&store, configs.second, "third", WP_APPLY_ANY_VERSION);
+  g_assert_cmpint (store.outcome, ==, WP_APPLY_UNCHANGED);
+  g_assert_cmpuint (store.calls, ==, 1);
+  store_clear (&store);
+  clear_configs (&configs);
+}
+
+/* Guards against an operator who overwrites a version that he has not seen. */
+static void
+test_expected_version (void)
+{
+  Configs configs = load_configs ();
+  Store store;
+
+  prepare (&store, &configs);
+  other_operator_applies (&store);
+  run_apply (&store, configs.second, "second", 1);
+  g_assert_cmpint (store.outcome, ==, WP_APPLY_CONFLICT);
+  g_assert_cmpstr (store.other_operator, ==, "ion");
+  g_assert_cmpstr (store.other_apply_id, ==, "other-0");
+  store_clear (&store);
+  clear_configs (&configs);
+}
+
+/* Guards against a wrong report, and against a root without its parts, after any two faults. */
+static void
+test_every_pair_of_faults (void)
+{
+  Configs configs = load_configs ();
+  guint i, j, a, b;
+
+  for (i = 0; i < 6; i++)
+    for (j = i; j < 10; j++)
+      for (a = 1; a < N_FAULTS; a++)
+        for (b = FAULT_NONE; b < N_FAULTS; b++)
+          {
+            Store store;
+
+            prepare (&store, &configs);
+            store.faults[i] = (Fault) a;
+            if (j > i)
+              store.faults[j] = (Fault) b;
+            run_apply (&store, configs.second, "second", WP_APPLY_ANY_VERSION);
+            check_outcome (&store, "second");
+            g_assert_cmpint (store.outcome, !=, WP_APPLY_UNKNOWN);
+            g_assert_cmpint (store.outcome, !=, WP_APPLY_FAILED);
+            store_clear (&store);
+          }
+  clear_configs (&configs);
+}
+
+/* Guards against a false report when the platform goes away at any step and stays away, and against
+ * a second apply that does harm afterwards. */
+static void
+test_outage_in_every_step (void)
+{
+  static const Fault outages[] = { FAULT_REFUSED, FAULT_DROPPED, FAULT_LOST };
+  Configs configs = load_configs ();
+  guint unknown = 0;
+  guint i, k;
+
+  for (i = 0; i < 6; i++)
+    for (k = 0; k < G_N_ELEMENTS (outages); k++)
+      {
+        Store store;
+
+        prepare (&store, &configs);
+        store.outage_from = i;
+        store.outage = outages[k];
+        run_apply (&store, configs.second, "second", WP_APPLY_ANY_VERSION);
+        check_outcome (&store, "second");
+        unknown += store.outcome == WP_APPLY_UNKNOWN;
+        store.outage = FAULT_NONE;
+        run_apply (&store, configs.second, "again", WP_APPLY_ANY_VERSION);
+        g_assert_true (store.outcome == WP_APPLY_DONE || store.outcome == WP_APPLY_UNCHANGED);
+        g_assert_cmpuint (store.version, ==, 2);
+        store_clear (&store);
+      }
+  g_assert_cmpuint (unknown, ==, 2);
+  clear_configs (&configs);
+}
+
+/* Guards against a conflict reported for an own apply that others have built upon. */
+static void
+test_superseded (void)
+{
+  Configs configs = load_configs ();
+  Store store;
+
+  prepare (&store, &configs);
+  store.faults[3] = FAULT_LOST;
+  store.faults[4] = FAULT_RACE;
+  run_apply (&store, configs.second, "second", WP_APPLY_ANY_VERSION);
+  g_assert_cmpint (store.outcome, ==, WP_APPLY_DONE);
+  g_assert_cmpuint (store.version, ==, 2);
+  store_clear (&store);
+  clear_configs (&configs);
+}
+
+/* Guards against a definite report when more applies followed than the root remembers. */
+static void
+test_forgotten (void)
+{
+  Configs configs = load_configs ();
+  Store store;
+
+  prepare (&store, &configs);
+  store.faults[3] = FAULT_LOST;
+  store.faults[4] = FAULT_RACE;
+  store.applies_per_race = WC_ROOT_MAX_HISTORY + 1;
+  run_apply (&store, configs.second, "second", WP_APPLY_ANY_VERSION);
+  g_assert_cmpint (store.outcome, ==, WP_APPLY_UNKNOWN);
+  store_clear (&store);
+  clear_configs (&configs);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/apply/plain", test_plain);
+  g_test_add_func ("/apply/expected-version", test_expected_version);
+  g_test_add_func ("/apply/every-pair-of-faults", test_every_pair_of_faults);
+  g_test_add_func ("/apply/outage-in-every-step", test_outage_in_every_step);
+  g_test_add_func ("/apply/superseded", test_superseded);
+  g_test_add_func ("/apply/forgotten", test_forgotten);
+  return g_test_run ();
+}
