--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -66,6 +66,7 @@
   admission->next_request_id = g_rand_int (admission->random);
   admission->next_pull_id = g_rand_int (admission->random);
   admission->swept_us = now_us;
+  admission->short_use_us = now_us;
   admission->mean_service_us[WC_CLASS_SHORT] = INITIAL_SHORT_US;
   admission->mean_service_us[WC_CLASS_LONG] = INITIAL_LONG_US;
   admission->mean_service_us[WC_CLASS_MIXED] = INITIAL_MIXED_US;
@@ -184,10 +185,10 @@
       wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
       return WA_ADMITTED;
     }
-  if (wa_refuse_on_arrival (admission, level))
+  if (wa_refuse_on_arrival (admission, class, tenant, now_us))
     {
       if (retry_after_s != NULL)
-        *retry_after_s = wa_refuse_retry_after (admission);
+        *retry_after_s = wa_refuse_retry_after (admission, now_us);
       return WA_REFUSED;
     }
   entry = add_entry (admission, flow, class, tenant);
--- a/admission/wa-predict.c
+++ b/admission/wa-predict.c
@@ -1,7 +1,10 @@
 #include "wa-private.h"
 
-/* Weight of a new measurement in the mean service time. */
-#define SAMPLE_SHARE 16
+/* Weight of a new measurement in the mean service time: 1/32 averages over a few stragglers. */
+#define SAMPLE_SHARE 32
+
+/* Time over which the slots used by short work are averaged. */
+#define SHORT_USE_US (2 * WB_US_PER_S)
 
 void
 wa_predict_record (WaAdmission *admission, WcClass class, gint64 service_us)
@@ -10,28 +13,119 @@
       (service_us - admission->mean_service_us[class]) / SAMPLE_SHARE;
 }
 
-static gint64
-work_waiting (const WaAdmission *admission, WcClass class)
+/* Call before the number of slots in use by short work changes. */
+void
+wa_predict_short_use (WaAdmission *admission, gint64 now_us)
 {
-  return admission->waiting_by_class[class] * admission->mean_service_us[class];
+  gdouble elapsed_us = (gdouble) (now_us - admission->short_use_us);
+
+  admission->short_use += (admission->in_use[WA_LEVEL_SHORT] - admission->short_use) * elapsed_us /
+                          (elapsed_us + SHORT_USE_US);
+  admission->short_use_us = now_us;
 }
 
-gint64
-wa_predict_drain (const WaAdmission *admission)
+/* Slots that serve a level. Short work that has not arrived yet goes ahead of all other work, so
+ * what it used lately is not counted for the rest. */
+static gdouble
+slots_of_level (const WaAdmission *admission, WaLevel level, gint64 now_us)
+{
+  gdouble usable = wa_slots_usable (admission, now_us);
+  gdouble taken = MAX (admission->reserve_short, admission->short_use);
+
+  return level == WA_LEVEL_SHORT ? usable : MAX (1, usable - taken);
+}
+
+static gint64
+work_of (const WaAdmission *admission, const guint *waiting)
 {
   gint64 work_us = 0;
   guint class;
 
   for (class = 0; class < WC_N_CLASSES; class ++)
-    work_us += work_waiting (admission, class);
-  return work_us / admission->slots;
+    work_us += waiting[class] * admission->mean_service_us[class];
+  return work_us;
 }
 
-/* The work ahead of a new entry: its own class and the classes before it. */
-gint64
-wa_predict_wait (const WaAdmission *admission, WaLevel level)
+static gint64
+work_of_level (const WaAdmission *admission, WaLevel level)
 {
+  gint64 short_us =
+      admission->waiting_by_class[WC_CLASS_SHORT] * admission->mean_service_us[WC_CLASS_SHORT];
+
   if (level == WA_LEVEL_SHORT)
-    return work_waiting (admission, WC_CLASS_SHORT) / admission->slots;
-  return wa_predict_drain (admission);
+    return short_us;
+  return work_of (admission, admission->waiting_by_class) - short_us;
+}
+
+/* Time until the queue is empty. */
+gint64
+wa_predict_drain (const WaAdmission *admission, gint64 now_us)
+{
+  return work_of (admission, admission->waiting_by_class) / wa_slots_usable (admission, now_us);
+}
+
+/* Sum of the weights of the tenants that share a level with @tenant. */
+static guint
+active_weight (const WaAdmission *admission, WaLevel level, const WaTenant *tenant)
+{
+  GPtrArray *tenants = admission->tenants[level];
+  guint sum = 0;
+  guint i;
+
+  for (i = 0; i < tenants->len; i++)
+    {
+      const WaTenant *other = g_ptr_array_index (tenants, i);
+
+      if (other == tenant || other->waiting.length > 0)
+        sum += other->weight;
+    }
+  return sum;
+}
+
+/* A tenant gets its share of the slots, and never waits for more work than there is. */
+static gint64
+predict (const WaAdmission *admission,
+         WaLevel level,
+         const WaTenant *tenant,
+         gint64 own_ahead_us,
+         gint64 now_us)
+{
+  gint64 shared_us = own_ahead_us * active_weight (admission, level, tenant) / tenant->weight;
+  gint64 work_us = MIN (shared_us, MAX (own_ahead_us, work_of_level (admission, level)));
+
+  if (level == WA_LEVEL_REST)
+    work_us += work_of_level (admission, WA_LEVEL_SHORT);
+  return (gint64) ((gdouble) work_us / slots_of_level (admission, level, now_us));
+}
+
+gint64
+wa_predict_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us)
+{
+  WaLevel level = wa_level (class);
+  const WaTenant *share = wa_tenant (admission, level, tenant);
+
+  return predict (admission, level, share, work_of (admission, share->waiting_by_class), now_us);
+}
+
+gint64
+wa_predict_entry (WaAdmission *admission, const WaEntry *entry, gint64 own_ahead_us, gint64 now_us)
+{
+  WaLevel level = wa_level (entry->class);
+
+  return predict (admission, level, wa_tenant (admission, level, entry->tenant), own_ahead_us,
+                  now_us);
+}
+
+gint64
+wa_admission_predicted_wait (const WaAdmission *admission, WbHandle flow, gint64 now_us)
+{
+  const WaEntry *entry = wa_entry_get (admission, flow);
+  const GList *link;
+  gint64 ahead_us = 0;
+
+  if (entry == NULL || !wa_entry_waits (entry))
+    return -1;
+  for (link = entry->by_tenant.prev; link != NULL; link = link->prev)
+    ahead_us += admission->mean_service_us[((const WaEntry *) link->data)->class];
+  return wa_predict_entry ((WaAdmission *) admission, entry, ahead_us, now_us);
 }
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -59,6 +59,7 @@
   gdouble service_us; /* received so far, divided by the weight */
   guint in_use;
   GQueue waiting;
+  guint waiting_by_class[WC_N_CLASSES];
   WbHistogram *wait[WC_N_CLASSES];
 } WaTenant;
 
@@ -129,6 +130,8 @@
   gboolean last_was_aged;
   gint64 swept_us;
   gint64 mean_service_us[WC_N_CLASSES];
+  gdouble short_use; /* slots used by short work, averaged up to short_use_us */
+  gint64 short_use_us;
 
   GPtrArray *peers;       /* of WaPeer */
   GHashTable *placements; /* of WaPlacement by flow */
@@ -169,6 +172,7 @@
 /* wa-slots.c */
 WaLevel wa_level (WcClass class);
 WaEntry *wa_entry_get (const WaAdmission *admission, WbHandle flow);
+gboolean wa_entry_waits (const WaEntry *entry);
 guint wa_slots_usable (const WaAdmission *admission, gint64 now_us);
 guint wa_slots_busy (const WaAdmission *admission);
 gboolean wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us);
@@ -187,12 +191,15 @@
 
 /* wa-predict.c */
 void wa_predict_record (WaAdmission *admission, WcClass class, gint64 service_us);
-gint64 wa_predict_wait (const WaAdmission *admission, WaLevel level);
-gint64 wa_predict_drain (const WaAdmission *admission);
+void wa_predict_short_use (WaAdmission *admission, gint64 now_us);
+gint64 wa_predict_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us);
+gint64
+wa_predict_entry (WaAdmission *admission, const WaEntry *entry, gint64 own_ahead_us, gint64 now_us);
+gint64 wa_predict_drain (const WaAdmission *admission, gint64 now_us);
 
 /* wa-refuse.c */
-guint wa_refuse_retry_after (WaAdmission *admission);
-gboolean wa_refuse_on_arrival (WaAdmission *admission, WaLevel level);
+guint wa_refuse_retry_after (WaAdmission *admission, gint64 now_us);
+gboolean wa_refuse_on_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us);
 void wa_refuse_sweep (WaAdmission *admission, gint64 now_us);
 
 /* wa-peers.c */
--- a/admission/wa-queue.c
+++ b/admission/wa-queue.c
@@ -39,6 +39,7 @@
   tenant_activate (admission, level, tenant);
   g_queue_push_tail_link (&tenant->waiting, &entry->by_tenant);
   g_queue_push_tail_link (&admission->by_age[level], &entry->by_age);
+  tenant->waiting_by_class[entry->class]++;
   admission->waiting_by_class[entry->class]++;
   wb_counters_add (admission->counters, WA_COUNTER_QUEUED, 1);
 }
@@ -47,9 +48,11 @@
 wa_queue_remove (WaAdmission *admission, WaEntry *entry)
 {
   WaLevel level = wa_level (entry->class);
+  WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
 
-  g_queue_unlink (&wa_tenant (admission, level, entry->tenant)->waiting, &entry->by_tenant);
+  g_queue_unlink (&tenant->waiting, &entry->by_tenant);
   g_queue_unlink (&admission->by_age[level], &entry->by_age);
+  tenant->waiting_by_class[entry->class]--;
   admission->waiting_by_class[entry->class]--;
 }
 
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -12,6 +12,12 @@
   return g_hash_table_lookup (admission->entries, &flow);
 }
 
+gboolean
+wa_entry_waits (const WaEntry *entry)
+{
+  return entry->state == WA_ENTRY_WAITING_OPEN || entry->state == WA_ENTRY_WAITING_REQUEST;
+}
+
 /* A backend server that has just started counts as having half its slots. */
 guint
 wa_slots_usable (const WaAdmission *admission, gint64 now_us)
@@ -34,7 +40,7 @@
 wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us)
 {
   guint usable = wa_slots_usable (admission, now_us);
-  guint reserved = admission->policy == WA_POLICY_NO_RESERVE ? 0 : admission->reserve_short;
+  guint reserved = admission->policy == WA_POLICY_FULL ? admission->reserve_short : 0;
 
   if (wa_slots_busy (admission) >= usable)
     return FALSE;
@@ -49,6 +55,7 @@
   WaLevel level = wa_level (entry->class);
   WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
 
+  wa_predict_short_use (admission, now_us);
   entry->state = state;
   entry->started_us = now_us;
   entry->charged_us = admission->mean_service_us[entry->class];
@@ -67,6 +74,7 @@
   WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
   gint64 used_us = now_us - entry->started_us;
 
+  wa_predict_short_use (admission, now_us);
   if (entry->state == WA_ENTRY_RESERVED)
     g_queue_unlink (&admission->reserved, &entry->by_age);
   tenant->service_us += (gdouble) (used_us - entry->charged_us) / tenant->weight;
