Pull short work for a free reserved slot while long work waits

Cause: an endpoint pulled only while its own queue was empty, so a free reserved slot stayed unused beside queued long work although peers had short work queued.

Change: pull whenever a slot is free; own entries that wait then cannot use that slot. Peers with queued short work are asked first.

--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -39,17 +39,19 @@
       }
 }
 
+/* The peer with the most short entries queued, or else with the most of the others. */
 static WaPeer *
 best_owner (const WaAdmission *admission, gboolean short_only)
 {
   WaPeer *best = NULL;
-  guint most = 0;
+  guint64 most = 0;
   guint i;
 
   for (i = 0; i < admission->peers->len; i++)
     {
       WaPeer *peer = g_ptr_array_index (admission->peers, i);
-      guint waiting = peer->report.waiting_short + (short_only ? 0 : peer->report.waiting_long);
+      guint64 waiting = ((guint64) peer->report.waiting_short << 32) |
+                        (short_only ? 0 : peer->report.waiting_long);
 
       if (waiting <= most)
         continue;
@@ -79,13 +81,14 @@
   wa_peer_send (admission, peer->id, &body);
 }
 
-/* Asks peers for queued initial packets, at most one for each free slot. */
+/* Asks peers for queued initial packets, at most one for each free slot. Own entries that are queued
+ * while a slot is free cannot use it: the slot is reserved for short work. */
 void
 wa_pull_try (WaAdmission *admission, gint64 now_us)
 {
   guint usable = wa_slots_usable (admission, now_us);
 
-  if (!pulling_enabled (admission) || admission->draining || wa_queue_length (admission) > 0)
+  if (!pulling_enabled (admission) || admission->draining)
     return;
   while (wa_slots_busy (admission) + admission->pulls->len < usable)
     {
