--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -81,8 +81,8 @@
   wa_peer_send (admission, peer->id, &body);
 }
 
-/* Asks peers for queued initial packets, at most one for each free slot. Own entries that are queued
- * while a slot is free cannot use it: the slot is reserved for short work. */
+/* Asks peers for queued initial packets, at most one for each free slot. Own entries that are
+ * queued while a slot is free cannot use it: the slot is reserved for short work. */
 void
 wa_pull_try (WaAdmission *admission, gint64 now_us)
 {
