Add the node shared by both daemons, slow readers and stop_limit

Cause: sockets, membership, configuration hand-over, platform watch, operator replies, signals and pause detection are the same in both daemons.

Change: daemon/wd-node drives WmNode and WpWatcher on one loop and calls the daemon back. The address check for joining members is dropped: membership accepts WW_PROC_JOIN alone from unknown addresses and checks the rest itself, and a second grace would have blocked a member that restarts within a minute. The caller can read slowly (pace). Agent settings get stop_limit, the longest wait of a planned stop.

--- a/config/wc-settings.c
+++ b/config/wc-settings.c
@@ -5,6 +5,10 @@
 
 #include <string.h>
 
+/* A host is replaced within minutes, so that flows which take longer are cut off. */
+#define DEFAULT_STOP_LIMIT_US (60 * WB_US_PER_S)
+#define MAX_STOP_LIMIT_US (3600 * WB_US_PER_S)
+
 /* IFNAMSIZ without the final nul. */
 #define MAX_DEVICE_LENGTH 15
 
@@ -14,7 +18,8 @@
 };
 static const gchar *const agent_keys[] = {
   "name",     "host",     "availability_zone", "control_address", "data_address", "network",
-  "platform", "contacts", "log_level",         "service",         "server",       NULL
+  "platform", "contacts", "log_level",         "service",         "server",       "stop_limit",
+  NULL
 };
 static const gchar *const udp_keys[] = { "kind", "address", "peer", NULL };
 static const gchar *const tun_keys[] = { "kind", "device", NULL };
@@ -149,6 +154,9 @@
     {
       settings->service = g_strdup (wc_reader_name (reader, document, "service"));
       read_pktio (reader, document, "server", TRUE, &settings->server);
+      settings->stop_limit_us = DEFAULT_STOP_LIMIT_US;
+      wc_reader_duration (reader, document, "stop_limit", 0, MAX_STOP_LIMIT_US,
+                          &settings->stop_limit_us);
     }
   read_platform (reader, document, settings);
   read_contacts (reader, document, settings);
--- a/config/wc-settings.h
+++ b/config/wc-settings.h
@@ -49,6 +49,7 @@
  * @network: packet I/O on the side of the clients
  * @service: name of the service that the backend server belongs to; NULL for a balancer
  * @server: packet I/O on the side of the backend server; unused for a balancer
+ * @stop_limit_us: longest time for which an agent that was told to stop waits for its flows to end
  * @platform_url: base URL of the platform's object API, or NULL
  * @contacts: of WcAddress; control addresses to join through
  */
@@ -62,6 +63,7 @@
   WcPktioSettings network;
   gchar *service;
   WcPktioSettings server;
+  gint64 stop_limit_us;
   gchar *platform_url;
   GArray *contacts;
   WcLogLevel log_level;
--- /dev/null
+++ b/daemon/wd-node.c
@@ -0,0 +1,616 @@
+#include "wd.h"
+
+#include "wb-log.h"
+#include "wc-parts.h"
+#include "wd-reply.h"
+#include "wd-timer.h"
+#include "wp-client.h"
+#include "wp-watch.h"
+
+#include <signal.h>
+
+#include <glib-unix.h>
+
+#define LOOPBACK_NET 127
+
+/* Contacts in the platform's list: with 16 of them a list stays useful while hosts are replaced. */
+#define CONTACTS_LISTED 16
+/* The list is compared with the one stored; three watchers cost 6 reads a minute. */
+#define CONTACTS_INTERVAL_US (30 * WB_US_PER_S)
+/* While no configuration is known, the platform is asked again. */
+#define ASK_INTERVAL_US (5 * WB_US_PER_S)
+
+enum
+{
+  COUNTER_DATA_REJECTED,
+  COUNTER_CONTROL_REJECTED,
+  COUNTER_CONTROL_MALFORMED,
+  COUNTER_OPERATOR_CALLS,
+  COUNTER_PAUSES,
+  COUNTER_CONFIG_INVALID,
+  COUNTER_CONFIG_OLDER,
+  N_COUNTERS,
+};
+
+static const WbCounterDef counter_definitions[N_COUNTERS] = {
+  { "daemon_data_rejected", "Datagrams on the data address from addresses of no member." },
+  { "daemon_control_rejected", "Control messages from addresses of no member." },
+  { "daemon_control_malformed", "Control messages that do not decode." },
+  { "daemon_operator_calls", "Calls of operator commands answered." },
+  { "daemon_pauses", "Gaps of the clock that were taken for a pause of the process." },
+  { "daemon_config_invalid", "Configurations that did not decode." },
+  { "daemon_config_older", "Configurations ignored because a newer one is in effect." },
+};
+
+struct WdNode
+{
+  WdCallbacks callbacks;
+  gchar *name;
+  ww_role role;
+  guint64 id;
+  GMainLoop *loop;
+  GSource *timer;
+  WwSocket *control;
+  WwSocket *data;
+  WmNode *member;
+  WpClient *client;
+  WpWatcher *watcher;
+  WdReply *reply;
+  WcConfig *config;
+  WcConfig *pending; /* newest one known while the node is not ready */
+  WbCounters *counters;
+  gint64 started_us;
+  gint64 contacts_us; /* next comparison of the contact list */
+  gint64 ask_us;      /* next read of the platform */
+  gboolean asked;     /* the platform has answered or cannot be reached */
+  gboolean ready;
+  gboolean watching;
+  gboolean running; /* callbacks of the daemon may be called */
+  gboolean stopping;
+  guint signal_sources[2];
+  guint members_seen[3]; /* alive, suspect, dead; as last logged */
+};
+
+static void
+member_send (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length)
+{
+  WdNode *node = context;
+
+  ww_socket_send (node->control, address, port, data, length);
+}
+
+static void
+log_members (WdNode *node)
+{
+  guint now[3] = { wm_node_count (node->member, WW_MEMBER_ALIVE),
+                   wm_node_count (node->member, WW_MEMBER_SUSPECT),
+                   wm_node_count (node->member, WW_MEMBER_DEAD) };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (now); i++)
+    if (now[i] != node->members_seen[i])
+      break;
+  if (i == G_N_ELEMENTS (now))
+    return;
+  for (i = 0; i < G_N_ELEMENTS (now); i++)
+    node->members_seen[i] = now[i];
+  wb_log_state ("members_changed", "alive=%u suspect=%u dead=%u", now[0], now[1], now[2]);
+}
+
+static void
+update_watching (WdNode *node)
+{
+  gboolean active = wm_node_is_watcher (node->member);
+
+  if (node->watcher == NULL || active == node->watching)
+    return;
+  node->watching = active;
+  wb_log_state ("watching_changed", "watching=%d", active);
+  wp_watcher_set_active (node->watcher, active);
+}
+
+static void
+members_changed (gpointer context)
+{
+  WdNode *node = context;
+
+  if (!node->running)
+    return;
+  log_members (node);
+  update_watching (node);
+  node->callbacks.members_changed (node->callbacks.context, g_get_monotonic_time ());
+}
+
+static void
+use_config (WdNode *node, WcConfig *config)
+{
+  wc_config_ref (config);
+  wc_config_unref (node->config);
+  node->config = config;
+  wm_node_set_config (node->member, config->version, config->digest);
+  wb_log_state ("config_changed", "version=%" G_GUINT64_FORMAT " digest=%016" G_GINT64_MODIFIER "x",
+                config->version, config->digest);
+  node->callbacks.config_changed (node->callbacks.context, config, g_get_monotonic_time ());
+}
+
+static gboolean
+is_newer (WdNode *node, const WcConfig *config)
+{
+  const WcConfig *newest = node->pending != NULL ? node->pending : node->config;
+
+  return newest == NULL || config->version > newest->version;
+}
+
+static void
+config_complete (gpointer context, guint64 version, GBytes *root, GHashTable *parts)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (WcConfig) config = wc_parts_decode (root, parts, &error);
+  WdNode *node = context;
+
+  if (config == NULL)
+    {
+      wb_counters_add (node->counters, COUNTER_CONFIG_INVALID, 1);
+      wb_log_error ("config_invalid", "version=%" G_GUINT64_FORMAT " error=\"%s\"", version,
+                    error->message);
+      return;
+    }
+  if (!is_newer (node, config))
+    {
+      wb_counters_add (node->counters, COUNTER_CONFIG_OLDER, 1);
+      return;
+    }
+  if (node->watcher != NULL)
+    wp_watcher_set_known (node->watcher, config->version, parts);
+  if (node->ready)
+    {
+      use_config (node, config);
+      return;
+    }
+  wc_config_unref (node->pending);
+  node->pending = wc_config_ref (config);
+}
+
+/* A starting node takes no configuration into effect before it has asked members and the platform
+ * for the newest one (R5). */
+static void
+check_ready (WdNode *node)
+{
+  if (node->ready || !wm_node_ready (node->member) || (node->watcher != NULL && !node->asked))
+    return;
+  node->ready = TRUE;
+  wb_log_state ("ready", "members=%u", wm_node_count (node->member, WW_MEMBER_ALIVE));
+  if (node->pending != NULL)
+    use_config (node, node->pending);
+  g_clear_pointer (&node->pending, wc_config_unref);
+}
+
+static GPtrArray *
+root_hashes (gpointer context, GBytes *bytes)
+{
+  g_autoptr (WcRoot) root = wc_root_parse (bytes, NULL);
+  GPtrArray *hashes;
+  guint i;
+
+  if (root == NULL)
+    return NULL;
+  hashes = g_ptr_array_new_with_free_func (g_free);
+  for (i = 0; i < root->hashes->len; i++)
+    g_ptr_array_add (hashes, g_strdup (g_ptr_array_index (root->hashes, i)));
+  return hashes;
+}
+
+static void
+platform_config (gpointer context, guint64 version, GBytes *root, GHashTable *parts)
+{
+  WdNode *node = context;
+
+  wm_node_offer_config (node->member, version, root, parts, g_get_monotonic_time ());
+}
+
+static void
+add_contact (WdNode *node, const WcAddress *contact)
+{
+  wm_node_add_contact (node->member, contact->address, contact->port);
+}
+
+static void
+platform_contacts (gpointer context, const WcAddress *contacts, guint count)
+{
+  guint i;
+
+  for (i = 0; i < count; i++)
+    add_contact (context, &contacts[i]);
+}
+
+static void
+platform_asked (gpointer context, gboolean answered)
+{
+  WdNode *node = context;
+
+  node->asked = TRUE;
+  node->ask_us = node->config == NULL ? g_get_monotonic_time () + ASK_INTERVAL_US : WB_NEVER;
+  if (!answered)
+    wb_log_state ("platform_unreachable", "config_known=%d", node->config != NULL);
+}
+
+static gint
+compare_ids (gconstpointer a, gconstpointer b)
+{
+  const ww_member *left = a;
+  const ww_member *right = b;
+
+  return left->id < right->id ? -1 : left->id > right->id;
+}
+
+/* All watchers list the members of lowest id, so that they do not write over each other. */
+static void
+list_contacts (WdNode *node)
+{
+  g_autoptr (GArray) members = wm_node_members (node->member);
+  WcAddress contacts[CONTACTS_LISTED];
+  guint count = 0;
+  guint i;
+
+  g_array_sort (members, compare_ids);
+  for (i = 0; i < members->len && count < CONTACTS_LISTED; i++)
+    {
+      const ww_member *member = &g_array_index (members, ww_member, i);
+
+      if (member->state != WW_MEMBER_ALIVE)
+        continue;
+      contacts[count].address = member->address;
+      contacts[count].port = wm_member_control_port (member);
+      count++;
+    }
+  wp_watcher_set_contacts (node->watcher, contacts, count);
+}
+
+static void
+platform_tick (WdNode *node, gint64 now_us)
+{
+  if (node->watcher == NULL)
+    return;
+  if (node->ask_us <= now_us)
+    {
+      node->ask_us = WB_NEVER;
+      if (node->config == NULL)
+        wp_watcher_read (node->watcher);
+    }
+  if (node->contacts_us > now_us)
+    return;
+  node->contacts_us = now_us + CONTACTS_INTERVAL_US;
+  if (node->watching)
+    list_contacts (node);
+}
+
+static void
+data_received (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length)
+{
+  WdNode *node = context;
+
+  if (!wm_node_is_member (node->member, address))
+    {
+      wb_counters_add (node->counters, COUNTER_DATA_REJECTED, 1);
+      return;
+    }
+  if (node->callbacks.data_received != NULL)
+    node->callbacks.data_received (node->callbacks.context, data, length, g_get_monotonic_time ());
+}
+
+static GString *
+metrics_text (WdNode *node)
+{
+  GString *text = g_string_new (NULL);
+
+  wb_counters_append_text (node->counters, text);
+  wb_counters_append_text (wm_node_counters (node->member), text);
+  if (node->client != NULL)
+    wb_counters_append_text (wp_client_counters (node->client), text);
+  g_string_append_printf (text, "daemon_datagrams_dropped %" G_GUINT64_FORMAT "\n",
+                          ww_socket_dropped (node->control) + ww_socket_dropped (node->data));
+  node->callbacks.append_metrics (node->callbacks.context, text);
+  return text;
+}
+
+static GByteArray *
+status_reply (WdNode *node, guint32 xid)
+{
+  ww_status_reply status = { 0 };
+
+  status.name = node->name;
+  status.id = node->id;
+  status.role = node->role;
+  status.config_version = node->config != NULL ? node->config->version : 0;
+  status.members_alive = wm_node_count (node->member, WW_MEMBER_ALIVE);
+  status.members_suspect = wm_node_count (node->member, WW_MEMBER_SUSPECT);
+  status.members_dead = wm_node_count (node->member, WW_MEMBER_DEAD);
+  status.uptime_ms = (guint64) ((g_get_monotonic_time () - node->started_us) / WB_US_PER_MS);
+  node->callbacks.fill_status (node->callbacks.context, &status);
+  return wd_reply_status (xid, &status);
+}
+
+static GByteArray *
+operator_reply (WdNode *node, const WwCall *call, const guint8 *body, gsize length)
+{
+  GByteArray *result;
+  GString *text;
+
+  if (call->procedure == WW_PROC_STATUS)
+    return status_reply (node, call->xid);
+  text = metrics_text (node);
+  result = wd_reply_metrics (node->reply, call->xid, body, length, text);
+  g_string_free (text, TRUE);
+  return result;
+}
+
+static void
+operator_call (WdNode *node,
+               guint32 address,
+               guint16 port,
+               const WwCall *call,
+               const guint8 *body,
+               gsize length)
+{
+  g_autoptr (GByteArray) reply = operator_reply (node, call, body, length);
+
+  if (reply == NULL)
+    {
+      wb_counters_add (node->counters, COUNTER_CONTROL_MALFORMED, 1);
+      return;
+    }
+  wb_counters_add (node->counters, COUNTER_OPERATOR_CALLS, 1);
+  ww_socket_send (node->control, address, port, reply->data, reply->len);
+}
+
+/* Operators call from a member's host or from the host itself; nobody else is answered (R4). */
+static gboolean
+is_operator_address (const WdNode *node, guint32 address)
+{
+  return (address >> 24) == LOOPBACK_NET || wm_node_is_member (node->member, address);
+}
+
+static void
+control_received (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length)
+{
+  WdNode *node = context;
+  const guint8 *body;
+  gsize body_length;
+  WwCall call;
+
+  if (!ww_call_decode (data, length, &call, &body, &body_length, NULL))
+    {
+      wb_counters_add (node->counters, COUNTER_CONTROL_MALFORMED, 1);
+      return;
+    }
+  if (!call.is_reply && wd_reply_procedure (call.procedure))
+    {
+      if (is_operator_address (node, address))
+        operator_call (node, address, port, &call, body, body_length);
+      else
+        wb_counters_add (node->counters, COUNTER_CONTROL_REJECTED, 1);
+      return;
+    }
+  /* Membership checks the addresses of its messages itself: it has to let new members join. */
+  if (!wm_node_receive (node->member, address, port, data, length, g_get_monotonic_time ()))
+    wb_counters_add (node->counters, COUNTER_CONTROL_MALFORMED, 1);
+}
+
+static gint64
+timer_next_us (gpointer context)
+{
+  WdNode *node = context;
+
+  gint64 own_us = node->watcher != NULL ? MIN (node->ask_us, node->contacts_us) : WB_NEVER;
+  gint64 core_us = node->callbacks.next_us (node->callbacks.context);
+
+  return MIN (own_us, MIN (core_us, wm_node_next_us (node->member)));
+}
+
+static void
+timer_tick (gpointer context, gint64 now_us)
+{
+  WdNode *node = context;
+
+  wm_node_tick (node->member, now_us);
+  platform_tick (node, now_us);
+  check_ready (node);
+  node->callbacks.tick (node->callbacks.context, now_us);
+}
+
+static void
+timer_resumed (gpointer context, gint64 gap_us, gint64 now_us)
+{
+  WdNode *node = context;
+
+  wb_counters_add (node->counters, COUNTER_PAUSES, 1);
+  wb_log_state ("resumed", "gap_ms=%" G_GINT64_FORMAT, gap_us / WB_US_PER_MS);
+  wm_node_resumed (node->member, now_us);
+  node->callbacks.resumed (node->callbacks.context, now_us);
+}
+
+/* A second signal ends the process at once. */
+static gboolean
+signal_received (gpointer context)
+{
+  WdNode *node = context;
+
+  if (node->stopping)
+    {
+      wd_node_quit (node);
+      return G_SOURCE_CONTINUE;
+    }
+  node->stopping = TRUE;
+  wb_log_state ("stopping", "name=%s", node->name);
+  node->callbacks.stop (node->callbacks.context, g_get_monotonic_time ());
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+open_sockets (WdNode *node, const WcSettings *settings, GError **error)
+{
+  node->control = ww_socket_new (settings->control.address, settings->control.port,
+                                 control_received, node, error);
+  if (node->control == NULL)
+    return FALSE;
+  node->data =
+      ww_socket_new (settings->data.address, settings->data.port, data_received, node, error);
+  return node->data != NULL;
+}
+
+static void
+create_member (WdNode *node, const WcSettings *settings, gint64 now_us)
+{
+  WmCallbacks callbacks = { .context = node,
+                            .send = member_send,
+                            .members_changed = members_changed,
+                            .config_complete = config_complete,
+                            .root_hashes = root_hashes };
+  WmSettings member = {
+    .id = node->id,
+    .service_id = settings->service != NULL ? wb_name_id (settings->service) : 0,
+    .address = settings->control.address,
+    .control_port = settings->control.port,
+    .data_port = settings->data.port,
+    .zone = (guint32) wb_name_id (settings->zone),
+    .host = (guint32) wb_name_id (settings->host),
+    .role = node->role,
+  };
+  guint i;
+
+  node->member = wm_node_new (&member, &callbacks, g_random_int (), now_us);
+  for (i = 0; i < settings->contacts->len; i++)
+    add_contact (node, &g_array_index (settings->contacts, WcAddress, i));
+}
+
+static gboolean
+open_platform (WdNode *node, const WcSettings *settings, GError **error)
+{
+  WpWatcherCallbacks callbacks = { .context = node,
+                                   .config = platform_config,
+                                   .contacts = platform_contacts,
+                                   .asked = platform_asked };
+  WpStore store;
+
+  if (settings->platform_url == NULL)
+    return TRUE;
+  node->client = wp_client_new (settings->platform_url, error);
+  if (node->client == NULL)
+    return FALSE;
+  store = wp_client_store (node->client);
+  node->watcher = wp_watcher_new (&store, &callbacks, g_random_int ());
+  wp_watcher_read (node->watcher);
+  return TRUE;
+}
+
+static void
+attach_timer (WdNode *node)
+{
+  WdTimerCallbacks callbacks = {
+    .context = node, .next_us = timer_next_us, .tick = timer_tick, .resumed = timer_resumed
+  };
+
+  node->timer = wd_timer_attach (&callbacks);
+}
+
+WdNode *
+wd_node_new (const WcSettings *settings, ww_role role, const WdCallbacks *callbacks, GError **error)
+{
+  g_autoptr (WdNode) node = g_new0 (WdNode, 1);
+
+  node->callbacks = *callbacks;
+  node->name = g_strdup (settings->name);
+  node->id = wb_name_id (settings->name);
+  node->role = role;
+  node->started_us = g_get_monotonic_time ();
+  node->ask_us = WB_NEVER;
+  node->contacts_us = node->started_us + ASK_INTERVAL_US;
+  node->counters = wb_counters_new (counter_definitions, N_COUNTERS);
+  node->reply = wd_reply_new ();
+  node->loop = g_main_loop_new (NULL, FALSE);
+  attach_timer (node);
+  if (!open_sockets (node, settings, error))
+    return NULL;
+  create_member (node, settings, node->started_us);
+  if (!open_platform (node, settings, error))
+    return NULL;
+  node->signal_sources[0] = g_unix_signal_add (SIGTERM, signal_received, node);
+  node->signal_sources[1] = g_unix_signal_add (SIGINT, signal_received, node);
+  return g_steal_pointer (&node);
+}
+
+void
+wd_node_free (WdNode *node)
+{
+  guint i;
+
+  if (node == NULL)
+    return;
+  for (i = 0; i < G_N_ELEMENTS (node->signal_sources); i++)
+    if (node->signal_sources[i] != 0)
+      g_source_remove (node->signal_sources[i]);
+  if (node->timer != NULL)
+    {
+      g_source_destroy (node->timer);
+      g_source_unref (node->timer);
+    }
+  wp_watcher_free (node->watcher);
+  ww_socket_free (node->control);
+  ww_socket_free (node->data);
+  if (node->member != NULL)
+    wm_node_free (node->member);
+  wd_reply_free (node->reply);
+  wc_config_unref (node->config);
+  wc_config_unref (node->pending);
+  wb_counters_free (node->counters);
+  g_main_loop_unref (node->loop);
+  g_free (node->name);
+  g_free (node);
+}
+
+void
+wd_node_run (WdNode *node)
+{
+  wb_log_state ("started", "name=%s id=%016" G_GINT64_MODIFIER "x", node->name, node->id);
+  node->running = TRUE;
+  members_changed (node);
+  g_main_loop_run (node->loop);
+  node->running = FALSE;
+  wb_log_state ("stopped", "name=%s", node->name);
+}
+
+void
+wd_node_quit (WdNode *node)
+{
+  g_main_loop_quit (node->loop);
+}
+
+WmNode *
+wd_node_member (WdNode *node)
+{
+  return node->member;
+}
+
+WcConfig *
+wd_node_config (WdNode *node)
+{
+  return node->config;
+}
+
+void
+wd_node_send_data (WdNode *node, guint32 address, guint16 port, const guint8 *data, gsize length)
+{
+  ww_socket_send (node->data, address, port, data, length);
+}
+
+WwPktio *
+wd_pktio_new (const WcPktioSettings *settings,
+              WwPktioReceived received,
+              gpointer context,
+              GError **error)
+{
+  if (settings->kind == WC_PKTIO_TUN)
+    return ww_pktio_new_tun (settings->device, received, context, error);
+  return ww_pktio_new_udp (settings->local.address, settings->local.port, settings->peer.address,
+                           settings->peer.port, received, context, error);
+}
--- a/load/caller-main.c
+++ b/load/caller-main.c
@@ -33,7 +33,7 @@
     "N" },
   { "mix", 0, 0, G_OPTION_ARG_STRING_ARRAY, &option_mixes,
     "A class of flows: name=TEXT,service=TEXT,target=ADDRESS:PORT,rate=PER_SECOND,bytes=N,"
-    "work=MS,requests=N,idle=MS,pause=MS",
+    "work=MS,requests=N,idle=MS,pause=MS,pace=BYTES_PER_SECOND",
     "CLASS" },
   { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "Seed of all random choices", "N" },
   { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &option_seconds, "Time in which flows are opened", "S" },
@@ -78,6 +78,8 @@
     mix->idle_ms = (guint) number;
   else if (strcmp (key, "pause") == 0)
     mix->pause_ms = (guint) number;
+  else if (strcmp (key, "pace") == 0)
+    mix->pace = (guint64) number;
   else
     return FALSE;
   return TRUE;
--- a/load/ld-flow.c
+++ b/load/ld-flow.c
@@ -8,6 +8,8 @@
 #define FIRST_PORT 10000
 #define LAST_PORT 60000
 #define LINE_MAX_BYTES 1500
+/* Opening the window by less would send a segment for every few bytes read. */
+#define PACED_READ_BYTES 8192
 
 typedef enum
 {
@@ -45,6 +47,8 @@
   SiAnswer answer;
   guint64 received;
   gchar *endpoint; /* of the first response */
+  guint64 unread;  /* received bytes that the window has not been opened for */
+  gint64 read_us;  /* last time at which the window was opened */
 } Flow;
 
 static void
@@ -108,6 +112,9 @@
   if (outcome == OUTCOME_BROKEN || outcome == OUTCOME_MISROUTED)
     print_failure (flow, outcome, reason);
   flow_detach (flow);
+  /* lwIP resets a connection that is closed with unread data. */
+  for (; flow->pcb != NULL && flow->unread > 0; flow->unread -= MIN (flow->unread, G_MAXUINT16))
+    tcp_recved (flow->pcb, (u16_t) MIN (flow->unread, G_MAXUINT16));
   if (flow->pcb != NULL)
     tcp_close (flow->pcb);
   flow_free (flow);
@@ -249,12 +256,14 @@
   return TRUE;
 }
 
+/* Whether a refusal has a positive number after the word "retry". */
 static gboolean
 names_time (const gchar *text)
 {
-  const gchar *digit = strpbrk (text, "123456789");
+  g_autofree gchar *lower = g_ascii_strdown (text, -1);
+  const gchar *retry = strstr (lower, "retry");
 
-  return digit != NULL;
+  return retry != NULL && strpbrk (retry, "123456789") != NULL;
 }
 
 static void
@@ -282,7 +291,10 @@
       peer_closed (flow);
       return ERR_OK;
     }
-  tcp_recved (pcb, buffer->tot_len);
+  if (flow->mix->pace == 0)
+    tcp_recved (pcb, buffer->tot_len);
+  else
+    flow->unread += buffer->tot_len;
   flow->progress_us = now_us;
   for (part = buffer; part != NULL; part = part->next)
     if (!take_bytes (flow, part->payload, part->len, now_us))
@@ -363,6 +375,23 @@
     flow_end (flow, OUTCOME_BROKEN, "cannot connect");
 }
 
+/* A client that reads slowly keeps the window of the connection small. */
+static void
+read_paced (Flow *flow, gint64 now_us)
+{
+  guint64 allowed = flow->mix->pace * (guint64) (now_us - flow->read_us) / WB_US_PER_S;
+  guint64 length = MIN (MIN (allowed, flow->unread), G_MAXUINT16);
+
+  if (flow->read_us == 0 || flow->unread == 0)
+    flow->read_us = now_us;
+  else if (length >= MIN (PACED_READ_BYTES, flow->unread))
+    {
+      flow->unread -= length;
+      flow->read_us = now_us;
+      tcp_recved (flow->pcb, (u16_t) length);
+    }
+}
+
 void
 ld_flows_tick (LdRun *run, gint64 now_us)
 {
@@ -373,6 +402,8 @@
       Flow *flow = link->data;
 
       next = link->next;
+      if (flow->mix->pace > 0 && flow->state == FLOW_BODY)
+        read_paced (flow, now_us);
       if (flow->state != FLOW_PAUSING && now_us - flow->progress_us > run->stall_us)
         flow_end (flow, OUTCOME_BROKEN, "no progress");
       else if (flow->state == FLOW_PAUSING && flow->due_us <= now_us)
--- a/load/ld.h
+++ b/load/ld.h
@@ -16,6 +16,7 @@
  * @requests: requests on each connection
  * @idle_ms: silence between the handshake and the first request
  * @pause_ms: silence between a response and the next request
+ * @pace: bytes a second that the client reads, 0 for no limit
  * @opened: flows whose initial packet was sent
  * @whole: flows that got every response complete
  * @refused: flows that were answered with a refusal text
@@ -36,6 +37,7 @@
   guint requests;
   guint idle_ms;
   guint pause_ms;
+  guint64 pace;
   gint64 next_us;
   guint64 opened, whole, refused, refused_no_time, broken, misrouted, responses;
   WbHistogram *time_us;
