Add the operator commands with a scripted run

An operator name that the root could not be read back with is refused. The watcher reports a root that cannot be read.

Conclusion: the commands work against the stand-ins; they have not been run against the daemons.

--- a/config/wc-load.c
+++ b/config/wc-load.c
@@ -16,13 +16,13 @@
 list_files (const gchar *path, GError **error)
 {
   g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
-  g_autoptr (GError) open_error = NULL;
+  GError *open_error = NULL;
   GDir *directory = g_dir_open (path, 0, &open_error);
   const gchar *name;
 
   if (directory == NULL)
     {
-      g_set_error (error, WC_ERROR, WC_ERROR_FILE, "%s", open_error->message);
+      wc_set_file_error (error, path, open_error);
       return NULL;
     }
   while ((name = g_dir_read_name (directory)) != NULL)
@@ -58,13 +58,17 @@
 {
   g_autofree gchar *path = g_build_filename (directory, name, NULL);
   g_autofree gchar *text = NULL;
-  g_autoptr (GError) error = NULL;
+  GError *cause = NULL;
+  GError *error = NULL;
   gsize length;
 
-  if (g_file_get_contents (path, &text, &length, &error))
-    add_document (documents, reader, name, text, length);
-  else
-    wc_reader_add_error (reader, g_error_new (WC_ERROR, WC_ERROR_FILE, "%s", error->message));
+  if (g_file_get_contents (path, &text, &length, &cause))
+    {
+      add_document (documents, reader, name, text, length);
+      return;
+    }
+  wc_set_file_error (&error, name, cause);
+  wc_reader_add_error (reader, error);
 }
 
 static WcConfig *
--- a/config/wc-parts.c
+++ b/config/wc-parts.c
@@ -327,6 +327,13 @@
   g_autoptr (GBytes) bytes = NULL;
   guint i;
 
+  /* A root that cannot be read back would block every later apply. */
+  if (!wc_name_is_valid (root->last.apply_id) || !wc_name_is_valid (root->last.operator_name))
+    {
+      g_set_error (error, WC_ERROR, WC_ERROR_RANGE, "\"%s\" or \"%s\" is no valid name",
+                   root->last.apply_id, root->last.operator_name);
+      return NULL;
+    }
   json_builder_begin_object (builder);
   add_record (builder, &root->last);
   begin_array (builder, "history");
--- a/config/wc-parts.h
+++ b/config/wc-parts.h
@@ -77,7 +77,7 @@
 
 /**
  * wc_root_encode() - the root object as stored
- * @error: WC_ERROR_TOO_LARGE
+ * @error: WC_ERROR_TOO_LARGE, or WC_ERROR_RANGE when apply id or operator is no name
  */
 GBytes *wc_root_encode (const WcRoot *root, GError **error);
 
--- a/config/wc-reader.c
+++ b/config/wc-reader.c
@@ -70,6 +70,17 @@
   add_problem (reader, code, g_string_free (message, FALSE));
 }
 
+/* The messages of GLib quote the path with characters that not every terminal shows. */
+void
+wc_set_file_error (GError **error, const gchar *path, GError *cause)
+{
+  const gchar *colon = strrchr (cause->message, ':');
+
+  g_set_error (error, WC_ERROR, WC_ERROR_FILE, "%s%s", path,
+               colon != NULL ? colon : ": cannot be read");
+  g_error_free (cause);
+}
+
 void
 wc_reader_add_error (WcReader *reader, GError *error)
 {
@@ -135,24 +146,28 @@
 }
 
 gboolean
-wc_reader_check_name (WcReader *reader, const WcNode *node, const gchar *key)
+wc_name_is_valid (const gchar *text)
 {
-  const gchar *text = node->text;
   gsize length = strlen (text);
   gsize i;
 
-  if (length >= 1 && length <= MAX_NAME_LENGTH && g_ascii_isalnum (text[0]))
-    {
-      for (i = 1; i < length; i++)
-        if (!g_ascii_isalnum (text[i]) && strchr (".-_", text[i]) == NULL)
-          break;
-      if (i == length)
-        return TRUE;
-    }
+  if (length < 1 || length > MAX_NAME_LENGTH || !g_ascii_isalnum (text[0]))
+    return FALSE;
+  for (i = 1; i < length; i++)
+    if (!g_ascii_isalnum (text[i]) && strchr (".-_", text[i]) == NULL)
+      return FALSE;
+  return TRUE;
+}
+
+gboolean
+wc_reader_check_name (WcReader *reader, const WcNode *node, const gchar *key)
+{
+  if (wc_name_is_valid (node->text))
+    return TRUE;
   wc_reader_problem (reader, node, key, WC_ERROR_RANGE,
                      "must be 1 to %d letters, digits, \".\", \"-\" or \"_\" and begin with a "
                      "letter or digit, not \"%s\"",
-                     MAX_NAME_LENGTH, text);
+                     MAX_NAME_LENGTH, node->text);
   return FALSE;
 }
 
--- a/config/wc-reader.h
+++ b/config/wc-reader.h
@@ -30,6 +30,9 @@
     WcReader *reader, const WcNode *node, const gchar *key, WcError code, const gchar *format, ...)
     G_GNUC_PRINTF (5, 6);
 
+/** wc_set_file_error() - sets WC_ERROR_FILE from a failure to open or read @path; takes @cause */
+void wc_set_file_error (GError **error, const gchar *path, GError *cause);
+
 /** wc_reader_add_error() - adds the message of @error as a problem; takes @error */
 void wc_reader_add_error (WcReader *reader, GError *error);
 
@@ -47,11 +50,12 @@
 wc_reader_string (WcReader *reader, const WcNode *table, const gchar *key, gboolean required);
 
 /**
- * wc_reader_name() - like wc_reader_string() for a required name
- *
- * A name has 1 to 63 letters, digits, dots, hyphens and underscores and begins with a letter or
- * digit.
+ * wc_name_is_valid() - whether @text has 1 to 63 letters, digits, dots, hyphens and underscores and
+ * begins with a letter or digit
  */
+gboolean wc_name_is_valid (const gchar *text);
+
+/** wc_reader_name() - like wc_reader_string() for a required name */
 const gchar *wc_reader_name (WcReader *reader, const WcNode *table, const gchar *key);
 
 /** wc_reader_check_name() - whether a string node holds a name */
--- a/config/wc-settings.c
+++ b/config/wc-settings.c
@@ -181,11 +181,11 @@
 wc_settings_load (const gchar *path, ww_role role, GError **error)
 {
   g_autofree gchar *text = NULL;
-  g_autoptr (GError) read_error = NULL;
+  GError *read_error = NULL;
 
   if (!g_file_get_contents (path, &text, NULL, &read_error))
     {
-      g_set_error (error, WC_ERROR, WC_ERROR_FILE, "%s", read_error->message);
+      wc_set_file_error (error, path, read_error);
       return NULL;
     }
   return wc_settings_load_text (path, text, role, error);
--- a/standins/platform-main.c
+++ b/standins/platform-main.c
@@ -4,7 +4,6 @@
  */
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define MAX_BODY_BYTES 1100000
@@ -28,12 +27,12 @@
 {
   GHashTable *objects; /* key to Object */
   GPtrArray *watches;  /* of Watch */
-  guint64 reads, writes, conflicts, watch_calls;
+  guint reads, writes, conflicts, watch_calls;
   gboolean down;
   guint slow_ms;
   guint lose_writes;
-  gint down_after_writes; /* -1: never */
-} state = { .down_after_writes = -1 };
+  guint down_after_writes; /* 0: never */
+} state;
 
 static void
 object_free (gpointer data)
@@ -44,25 +43,13 @@
   g_free (object);
 }
 
+/* Takes @text. */
 static void
-answer_json (SoupServerMessage *message, guint status, JsonBuilder *builder)
+answer_json (SoupServerMessage *message, gchar *text)
 {
-  g_autoptr (JsonGenerator) generator = json_generator_new ();
-  g_autoptr (JsonNode) node = json_builder_get_root (builder);
-  gsize length;
-  gchar *text;
-
-  json_generator_set_root (generator, node);
-  text = json_generator_to_data (generator, &length);
-  soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE, text, length);
-}
-
-static void
-add_count (JsonBuilder *builder, const gchar *name, guint64 value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_int_value (builder, (gint64) value);
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE, text,
+                                    strlen (text));
 }
 
 /* The client sees the connection end before any answer. */
@@ -77,27 +64,11 @@
 static void
 answer_object (SoupServerMessage *message, const gchar *key, const Object *object)
 {
-  g_autoptr (JsonBuilder) builder = json_builder_new ();
-
-  json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "key");
-  json_builder_add_string_value (builder, key);
-  add_count (builder, "version", object->version);
-  json_builder_set_member_name (builder, "value");
-  json_builder_add_value (builder, json_node_copy (object->value));
-  json_builder_end_object (builder);
-  answer_json (message, SOUP_STATUS_OK, builder);
-}
+  g_autofree gchar *value = json_to_string (object->value, FALSE);
 
-static void
-answer_version (SoupServerMessage *message, guint64 version)
-{
-  g_autoptr (JsonBuilder) builder = json_builder_new ();
-
-  json_builder_begin_object (builder);
-  add_count (builder, "version", version);
-  json_builder_end_object (builder);
-  answer_json (message, SOUP_STATUS_OK, builder);
+  answer_json (message,
+               g_strdup_printf ("{\"key\":\"%s\",\"version\":%" G_GUINT64_FORMAT ",\"value\":%s}",
+                                key, object->version, value));
 }
 
 /* Removes a watch, and resumes its message when the client still waits. */
@@ -113,6 +84,21 @@
   g_free (watch);
 }
 
+/* An outage also ends the watches that are pending. */
+static void
+go_down (void)
+{
+  state.down = TRUE;
+  while (state.watches->len > 0)
+    {
+      Watch *watch = g_ptr_array_index (state.watches, 0);
+      g_autoptr (SoupServerMessage) message = g_object_ref (watch->message);
+
+      end_watch (watch);
+      close_connection (message);
+    }
+}
+
 static gboolean
 watch_timed_out (gpointer data)
 {
@@ -223,17 +209,14 @@
   state.writes++;
   notify_watches (key, object);
   if (state.down_after_writes > 0 && --state.down_after_writes == 0)
-    {
-      state.down_after_writes = -1;
-      state.down = TRUE;
-    }
+    go_down ();
   if (state.lose_writes > 0)
     {
       state.lose_writes--;
       close_connection (message);
     }
   else
-    answer_version (message, object->version);
+    answer_json (message, g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT "}", object->version));
 }
 
 static void
@@ -280,13 +263,8 @@
 }
 
 static void
-handle_object (SoupServer *server,
-               SoupServerMessage *message,
-               const gchar *path,
-               GHashTable *query,
-               gpointer data)
+handle_object (SoupServerMessage *message, const gchar *key, GHashTable *query)
 {
-  const gchar *key = path + strlen ("/objects/");
   const gchar *method = soup_server_message_get_method (message);
 
   if (state.down)
@@ -306,31 +284,14 @@
   g_timeout_add (state.slow_ms, delay_over, g_object_ref (message));
 }
 
-static void
-handle_counters (SoupServer *server,
-                 SoupServerMessage *message,
-                 const gchar *path,
-                 GHashTable *query,
-                 gpointer data)
+static guint
+read_number (JsonObject *object, const gchar *name)
 {
-  g_autoptr (JsonBuilder) builder = json_builder_new ();
-
-  json_builder_begin_object (builder);
-  add_count (builder, "reads", state.reads);
-  add_count (builder, "writes", state.writes);
-  add_count (builder, "conflicts", state.conflicts);
-  add_count (builder, "watches", state.watch_calls);
-  add_count (builder, "objects", g_hash_table_size (state.objects));
-  json_builder_end_object (builder);
-  answer_json (message, SOUP_STATUS_OK, builder);
+  return (guint) json_object_get_int_member_with_default (object, name, 0);
 }
 
 static void
-handle_faults (SoupServer *server,
-               SoupServerMessage *message,
-               const gchar *path,
-               GHashTable *query,
-               gpointer data)
+handle_faults (SoupServerMessage *message)
 {
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   g_autoptr (JsonParser) parser = json_parser_new ();
@@ -344,14 +305,35 @@
       return;
     }
   faults = json_node_get_object (root);
-  state.down = json_object_get_boolean_member_with_default (faults, "down", FALSE);
-  state.slow_ms = (guint) json_object_get_int_member_with_default (faults, "slow_ms", 0);
-  state.lose_writes = (guint) json_object_get_int_member_with_default (faults, "lose_writes", 0);
-  state.down_after_writes =
-      (gint) json_object_get_int_member_with_default (faults, "down_after_writes", -1);
+  state.down = FALSE;
+  state.slow_ms = read_number (faults, "slow_ms");
+  state.lose_writes = read_number (faults, "lose_writes");
+  state.down_after_writes = read_number (faults, "down_after_writes");
+  if (json_object_get_boolean_member_with_default (faults, "down", FALSE))
+    go_down ();
   soup_server_message_set_status (message, SOUP_STATUS_NO_CONTENT, NULL);
 }
 
+static void
+handle (SoupServer *server,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query,
+        gpointer data)
+{
+  if (g_str_has_prefix (path, "/objects/"))
+    handle_object (message, path + strlen ("/objects/"), query);
+  else if (strcmp (path, "/faults") == 0)
+    handle_faults (message);
+  else if (strcmp (path, "/counters") == 0)
+    answer_json (message, g_strdup_printf ("{\"reads\":%u,\"writes\":%u,\"conflicts\":%u,"
+                                           "\"watches\":%u,\"objects\":%u}",
+                                           state.reads, state.writes, state.conflicts,
+                                           state.watch_calls, g_hash_table_size (state.objects)));
+  else
+    soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -368,9 +350,7 @@
     }
   state.objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
   state.watches = g_ptr_array_new ();
-  soup_server_add_handler (server, "/objects", handle_object, NULL, NULL);
-  soup_server_add_handler (server, "/counters", handle_counters, NULL, NULL);
-  soup_server_add_handler (server, "/faults", handle_faults, NULL, NULL);
+  soup_server_add_handler (server, NULL, handle, NULL, NULL);
   if (!soup_server_listen_local (server, (guint) port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
     {
       g_printerr ("platform: %s\n", error->message);
--- /dev/null
+++ b/waxwinghitch/cmd-diff.c
@@ -0,0 +1,154 @@
+#include "cmd-options.h"
+#include "cmd-output.h"
+#include "wc-diff.h"
+#include "wc-load.h"
+#include "wc-parts.h"
+#include "wp-client.h"
+#include "wp-watch.h"
+
+/* A read of the configuration that the platform holds. */
+typedef struct
+{
+  GMainLoop *loop;
+  WpWatcher *watcher;
+  WcConfig *config; /* NULL when the platform holds none */
+  GError *error;
+  gboolean answered;
+} Read;
+
+static void
+config_read (gpointer context, guint64 version, GBytes *root, GHashTable *parts)
+{
+  Read *read = context;
+
+  g_clear_pointer (&read->config, wc_config_unref);
+  read->config = wc_parts_decode (root, parts, &read->error);
+}
+
+static void
+root_invalid (gpointer context, const GError *error)
+{
+  Read *read = context;
+
+  read->error = g_error_copy (error);
+}
+
+static void
+contacts_read (gpointer context, const WcAddress *contacts, guint count)
+{
+}
+
+/* An outage is waited out until the time is over. */
+static void
+asked (gpointer context, gboolean answered)
+{
+  Read *read = context;
+
+  read->answered = answered;
+  if (answered)
+    g_main_loop_quit (read->loop);
+  else
+    wp_watcher_read (read->watcher);
+}
+
+static gboolean
+time_over (gpointer data)
+{
+  Read *read = data;
+
+  g_main_loop_quit (read->loop);
+  return G_SOURCE_REMOVE;
+}
+
+static int
+read_current (const CmdOptions *options, const WcConfig *local, WcConfig **current)
+{
+  WpWatcherCallbacks callbacks = {
+    .config = config_read, .contacts = contacts_read, .asked = asked, .invalid = root_invalid
+  };
+  g_autoptr (GError) error = NULL;
+  Read read = { 0 };
+  WpClient *client = wp_client_new (options->platform, &error);
+  WcParts *parts;
+  WpStore store;
+
+  if (client == NULL)
+    {
+      g_printerr ("--platform: %s\n", error->message);
+      return CMD_EXIT_USAGE;
+    }
+  store = wp_client_store (client);
+  callbacks.context = &read;
+  read.loop = g_main_loop_new (NULL, FALSE);
+  read.watcher = wp_watcher_new (&store, &callbacks, g_random_int ());
+  /* Parts that are the same here need not be fetched. */
+  parts = wc_parts_encode (local, NULL);
+  wp_watcher_set_known (read.watcher, 0, parts->bodies);
+  wp_watcher_read (read.watcher);
+  g_timeout_add ((guint) (options->timeout_us / WB_US_PER_MS), time_over, &read);
+  g_main_loop_run (read.loop);
+  wp_watcher_free (read.watcher);
+  g_main_loop_unref (read.loop);
+  wc_parts_free (parts);
+  *current = read.config;
+  if (read.answered && read.error == NULL)
+    return CMD_EXIT_OK;
+  g_printerr ("%s\n", read.error != NULL ? read.error->message : "platform unreachable");
+  g_clear_error (&read.error);
+  return read.answered ? CMD_EXIT_FAILED : CMD_EXIT_UNREACHABLE;
+}
+
+static void
+print_changes (const WcConfig *before, const WcConfig *after, const CmdOptions *options)
+{
+  guint64 version = before != NULL ? before->version : 0;
+  g_autoptr (GPtrArray) changes = wc_diff (before, after);
+  g_autofree gchar *text = options->json ? wc_diff_to_json (changes) : wc_diff_to_text (changes);
+
+  if (options->json)
+    g_print ("{\"version\":%" G_GUINT64_FORMAT ",\"changes\":%s}\n", version, text);
+  else if (options->from != NULL)
+    g_print ("compared with %s: changes %u\n%s", options->from, changes->len, text);
+  else
+    g_print ("compared with version %" G_GUINT64_FORMAT ": changes %u\n%s", version, changes->len,
+             text);
+}
+
+int
+cmd_diff (int argc, char **argv)
+{
+  g_autoptr (WcConfig) before = NULL;
+  g_autoptr (WcConfig) after = NULL;
+  g_autoptr (GError) error = NULL;
+  CmdOptions options;
+  int result;
+
+  cmd_options_parse (&options,
+                     CMD_OPTION_JSON | CMD_OPTION_PLATFORM | CMD_OPTION_FROM | CMD_OPTION_TIMEOUT |
+                         CMD_OPTION_DIRECTORY,
+                     CMD_OPTION_DIRECTORY,
+                     "Shows how the configuration in DIR differs from the one that the platform "
+                     "holds, or from the one in another directory. Changes nothing.",
+                     argc, argv);
+  if ((options.platform == NULL) == (options.from == NULL))
+    {
+      g_printerr ("%s: either --platform or --from is needed\n", argv[0]);
+      return CMD_EXIT_USAGE;
+    }
+  after = wc_load_directory (options.directory, &error);
+  if (after != NULL && options.from != NULL)
+    before = wc_load_directory (options.from, &error);
+  if (error != NULL)
+    {
+      g_printerr ("%s\n", error->message);
+      return CMD_EXIT_INVALID;
+    }
+  if (options.platform != NULL)
+    {
+      result = read_current (&options, after, &before);
+      if (result != CMD_EXIT_OK)
+        return result;
+    }
+  print_changes (before, after, &options);
+  return CMD_EXIT_OK;
+}
