Give free slots to short work that waits at a peer

Cause: an endpoint pulled only while its own queue was empty, so a free reserved slot stayed unused beside queued long work although peers had short work queued; and a freed general slot took an own long entry for seconds while short work waited at a peer.

Change, in two steps: pull whenever a slot is free, short work first; and ask a peer known to have short work queued before a slot goes to own long or mixed work. A pull for which nothing is queued is answered with the occupancy, so that the slot is not held for the 5 ms time-out. Ageing leaves aside the class order only, and also this waiting for peers, but no longer the order of the tenants.

--- a/admission/wa-peers.c
+++ b/admission/wa-peers.c
@@ -56,8 +56,9 @@
   admission->peers = kept;
 }
 
-static void
-answer_request (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us)
+/* The answer to an occupancy request, and to a pull for which nothing is queued. */
+void
+wa_peer_answer (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us)
 {
   ww_peer_body body = { .kind = WW_PEER_OCCUPANCY_REPLY };
 
@@ -81,11 +82,12 @@
     {
     case WW_PEER_OCCUPANCY_REQUEST:
       wa_peer_report (peer, &body->ww_peer_body_u.occupancy_request.occupancy, now_us);
-      answer_request (admission, peer->id, body->ww_peer_body_u.occupancy_request.request_id,
+      wa_peer_answer (admission, peer->id, body->ww_peer_body_u.occupancy_request.request_id,
                       now_us);
       break;
     case WW_PEER_OCCUPANCY_REPLY:
       wa_peer_report (peer, &body->ww_peer_body_u.occupancy_reply.occupancy, now_us);
+      wa_pull_declined (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id);
       wa_place_reply (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id, now_us);
       break;
     case WW_PEER_OFFER:
@@ -100,5 +102,5 @@
     case WW_PEER_UNREGISTER:
       return;
     }
-  wa_pull_try (admission, now_us);
+  wa_queue_dispatch (admission, now_us);
 }
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -186,7 +186,6 @@
 void wa_queue_remove (WaAdmission *admission, WaEntry *entry);
 guint wa_queue_length (const WaAdmission *admission);
 WaEntry *wa_queue_next (WaAdmission *admission, WaLevel level, gboolean initial_only);
-WaEntry *wa_queue_aged (WaAdmission *admission, gint64 now_us);
 void wa_queue_dispatch (WaAdmission *admission, gint64 now_us);
 
 /* wa-predict.c */
@@ -207,6 +206,8 @@
 void wa_peer_report (WaPeer *peer, const ww_occupancy *occupancy, gint64 now_us);
 void wa_peer_send (WaAdmission *admission, guint64 id, const ww_peer_body *body);
 
+void wa_peer_answer (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us);
+
 /* wa-place.c */
 void wa_place_reply (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us);
 void wa_place_expire (WaAdmission *admission, gint64 now_us);
@@ -215,6 +216,8 @@
 /* wa-pull.c */
 void wa_pull_offer (WaAdmission *admission, gint64 now_us);
 void wa_pull_try (WaAdmission *admission, gint64 now_us);
+gboolean wa_pull_short_first (WaAdmission *admission, gint64 now_us);
+void wa_pull_declined (WaAdmission *admission, guint64 id, guint32 pull_id);
 void wa_pull_settle (WaAdmission *admission);
 void wa_pull_expire (WaAdmission *admission, gint64 now_us);
 void wa_pull_answer (WaAdmission *admission, WaPeer *peer, const ww_pull *pull, gint64 now_us);
--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -81,8 +81,29 @@
   wa_peer_send (admission, peer->id, &body);
 }
 
-/* Asks peers for queued initial packets, at most one for each free slot. Own entries that are queued
- * while a slot is free cannot use it: the slot is reserved for short work. */
+/* Whether own long or mixed work must leave a free slot to short work that a peer has queued or
+ * that has been asked for. Without this, a slot that becomes free takes the own long entry for
+ * seconds while short work waits elsewhere. */
+gboolean
+wa_pull_short_first (WaAdmission *admission, gint64 now_us)
+{
+  guint usable = wa_slots_usable (admission, now_us);
+  WaPeer *peer;
+
+  if (!pulling_enabled (admission) || admission->draining)
+    return FALSE;
+  while (wa_slots_busy (admission) + admission->pulls->len < usable)
+    {
+      peer = best_owner (admission, TRUE);
+      if (peer == NULL)
+        return FALSE;
+      send_pull (admission, peer, TRUE, now_us);
+    }
+  return TRUE;
+}
+
+/* Asks peers for queued initial packets, at most one for each free slot. Own entries that are
+ * queued while a slot is free cannot use it: the slot is reserved for short work. */
 void
 wa_pull_try (WaAdmission *admission, gint64 now_us)
 {
@@ -109,6 +130,20 @@
     g_array_remove_index (admission->pulls, 0);
 }
 
+/* The peer has answered a pull with its occupancy instead of a grant. */
+void
+wa_pull_declined (WaAdmission *admission, guint64 id, guint32 pull_id)
+{
+  guint i;
+
+  for (i = 0; i < admission->pulls->len; i++)
+    if (pull_at (admission, i)->peer_id == id && pull_at (admission, i)->pull_id == pull_id)
+      {
+        g_array_remove_index (admission->pulls, i);
+        return;
+      }
+}
+
 /* A peer that did not grant has nothing queued any more, as far as is known. */
 void
 wa_pull_expire (WaAdmission *admission, gint64 now_us)
@@ -162,6 +197,7 @@
   if (entry == NULL)
     {
       wb_counters_add (admission->counters, WA_COUNTER_PULLS_EMPTY, 1);
+      wa_peer_answer (admission, peer->id, pull->pull_id, now_us);
       return;
     }
   wb_counters_add (admission->counters, WA_COUNTER_GRANTED, 1);
--- a/admission/wa-queue.c
+++ b/admission/wa-queue.c
@@ -102,18 +102,18 @@
   return best;
 }
 
-/* The oldest entry outside the short class, once it has waited for half its deadline. At most every
- * second admission goes by age, so that old long work cannot hold up the short class. */
-WaEntry *
-wa_queue_aged (WaAdmission *admission, gint64 now_us)
+/* Whether the class order is left aside because an entry outside the short class has waited for
+ * half its deadline. At most every second admission is, so that old long work cannot hold up the
+ * short class. The order of the tenants stays: a rush of one must not profit from its own long
+ * queue. */
+static gboolean
+rest_is_aged (const WaAdmission *admission, gint64 now_us)
 {
-  GList *head = admission->by_age[WA_LEVEL_REST].head;
-  WaEntry *entry;
+  const GList *head = admission->by_age[WA_LEVEL_REST].head;
 
   if (head == NULL || admission->last_was_aged)
-    return NULL;
-  entry = head->data;
-  return now_us - entry->queued_us >= admission->deadline_us / 2 ? entry : NULL;
+    return FALSE;
+  return now_us - ((const WaEntry *) head->data)->queued_us >= admission->deadline_us / 2;
 }
 
 static WaEntry *
@@ -124,18 +124,18 @@
 
   if (!rest_free && !wa_slots_free (admission, WA_LEVEL_SHORT, now_us))
     return NULL;
-  entry = rest_free ? wa_queue_aged (admission, now_us) : NULL;
-  if (entry != NULL && admission->by_age[WA_LEVEL_SHORT].length > 0)
+  if (rest_free && rest_is_aged (admission, now_us))
     {
       admission->last_was_aged = TRUE;
       wb_counters_add (admission->counters, WA_COUNTER_AGED, 1);
-      return entry;
+      return wa_queue_next (admission, WA_LEVEL_REST, FALSE);
     }
   admission->last_was_aged = FALSE;
   entry = wa_queue_next (admission, WA_LEVEL_SHORT, FALSE);
-  if (entry == NULL && rest_free)
-    entry = wa_queue_next (admission, WA_LEVEL_REST, FALSE);
-  return entry;
+  if (entry != NULL || !rest_free)
+    return entry;
+  entry = wa_queue_next (admission, WA_LEVEL_REST, FALSE);
+  return entry != NULL && wa_pull_short_first (admission, now_us) ? NULL : entry;
 }
 
 /* Admits waiting entries while slots are free. */
