Take evidence from flows before what an endpoint reports

Change: an offer proves that the sender is full, so two reports that contradict it within a second make the sender count as full for 10 s, doubling up to 300 s. Three initial packets in a row without an answer make an endpoint report itself as full, stop pulling and hand its queue over; it tries again after 3 s. Occupancy flags carry the mean service time; an endpoint that takes twice the median of its peers reports half its slots.

Ruled out: reporting slots divided by the slowness.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -234,6 +234,7 @@
     {
       g_queue_unlink (&admission->reserved, &entry->by_age);
       entry->state = WA_ENTRY_BUSY;
+      entry->requested_us = now_us;
     }
   return entry->state == WA_ENTRY_BUSY ? WA_ADMITTED : WA_QUEUED;
 }
@@ -242,9 +243,13 @@
 wa_admission_busy (
     WaAdmission *admission, WbHandle flow, WcClass class, guint tenant, gint64 now_us)
 {
+  WaEntry *entry;
+
   if (wa_entry_get (admission, flow) != NULL)
     return;
-  wa_slots_take (admission, add_entry (admission, flow, class, tenant), WA_ENTRY_BUSY, now_us);
+  entry = add_entry (admission, flow, class, tenant);
+  wa_slots_take (admission, entry, WA_ENTRY_BUSY, now_us);
+  entry->requested_us = 0; /* the beginning of the request is not known */
 }
 
 void
@@ -252,6 +257,7 @@
 {
   WaEntry *entry = wa_entry_get (admission, flow);
 
+  wa_evidence_answered (admission);
   if (entry != NULL)
     entry->answered = TRUE;
 }
@@ -293,7 +299,7 @@
   wa_pull_expire (admission, now_us);
   wa_slots_expire (admission, now_us);
   wa_refuse_sweep (admission, now_us);
-  if (admission->draining)
+  if (admission->draining || wa_evidence_not_answering (admission, now_us))
     wa_pull_hand_over (admission, now_us);
   wa_queue_dispatch (admission, now_us);
 }
@@ -321,6 +327,7 @@
   ww_occupancy occupancy = { 0 };
 
   occupancy.slots = wa_slots_usable (admission, now_us);
+  occupancy.flags = wa_evidence_flags (admission);
   occupancy.busy = wa_slots_busy (admission) + admission->pulls->len;
   occupancy.waiting_short = admission->by_age[WA_LEVEL_SHORT].length;
   occupancy.waiting_long = admission->by_age[WA_LEVEL_REST].length;
@@ -328,6 +335,13 @@
     occupancy.flags |= WA_OCCUPANCY_DRAINING;
   if (occupancy.slots < admission->slots)
     occupancy.flags |= WA_OCCUPANCY_COLD;
+  if (wa_evidence_not_answering (admission, now_us))
+    {
+      occupancy.flags |= WA_OCCUPANCY_NOT_ANSWERING;
+      occupancy.busy = MAX (occupancy.busy, occupancy.slots);
+    }
+  if (wa_evidence_is_slow (admission, now_us))
+    occupancy.slots = MAX (1, occupancy.slots / 2);
   return occupancy;
 }
 
--- a/admission/wa-counters.c
+++ b/admission/wa-counters.c
@@ -27,6 +27,10 @@
                                "Queued initial packets handed over because of a drain." },
   [WA_COUNTER_UNKNOWN_PEER] = { "unknown_peer",
                                 "Peer messages from endpoints not in the service." },
+  [WA_COUNTER_NOT_ANSWERING] = { "not_answering",
+                                 "Times that the server counted as not answering." },
+  [WA_COUNTER_DISTRUSTED] = { "distrusted",
+                              "Times that a peer's offers contradicted its reports." },
 };
 
 WbCounters *
--- /dev/null
+++ b/admission/wa-evidence.c
@@ -0,0 +1,176 @@
+#include "wa-private.h"
+
+/* Initial packets in a row that the server left unanswered before it counts as not answering. One
+ * or two can be lost on the way between agent and server. */
+#define UNANSWERED_LIMIT 3
+
+/* After this time a server that did not answer gets one initial packet to try. */
+#define RETRY_SERVER_US (3 * WB_US_PER_S)
+
+/* An endpoint that offers has all slots in use. Within this time it cannot become half empty,
+ * unless its reports are wrong. */
+#define OFFER_VALID_US (5 * WB_US_PER_MS)
+
+/* One contradiction can come from reordered messages. */
+#define CONTRADICTION_LIMIT 2
+#define CONTRADICTION_WINDOW_US (1 * WB_US_PER_S)
+#define DISTRUST_MIN_US (10 * WB_US_PER_S)
+#define DISTRUST_MAX_US (300 * WB_US_PER_S)
+
+/* Flags of an occupancy carry the mean service time: class in bits 30 and 31, milliseconds in bits
+ * 16 to 29. */
+#define SERVICE_SHIFT 16
+#define SERVICE_MS_MAX 0x3fff
+#define SERVICE_CLASS_SHIFT 30
+
+/* Requests measured before the mean is reported, and peers needed for a comparison. */
+#define SERVICE_SAMPLES_MIN 16
+#define SERVICE_PEERS_MIN 2
+#define SERVICE_REPORT_AGE_US (10 * WB_US_PER_S)
+#define SERVICE_SAMPLE_SHARE 16
+
+/* Below this factor the difference to the peers can be chance. */
+#define SLOW_FACTOR 2.0
+
+void
+wa_evidence_answered (WaAdmission *admission)
+{
+  admission->unanswered = 0;
+}
+
+void
+wa_evidence_unanswered (WaAdmission *admission, gint64 now_us)
+{
+  admission->unanswered++;
+  if (admission->unanswered >= UNANSWERED_LIMIT)
+    {
+      admission->not_answering_until_us = now_us + RETRY_SERVER_US;
+      admission->unanswered = UNANSWERED_LIMIT - 1;
+      wb_counters_add (admission->counters, WA_COUNTER_NOT_ANSWERING, 1);
+    }
+}
+
+gboolean
+wa_evidence_not_answering (const WaAdmission *admission, gint64 now_us)
+{
+  return admission->unanswered > 0 && now_us < admission->not_answering_until_us;
+}
+
+void
+wa_evidence_service (WaAdmission *admission, WcClass class, gint64 service_us)
+{
+  WaService *service = &admission->service[class];
+
+  if (service->samples++ == 0)
+    service->mean_us = service_us;
+  service->mean_us += (service_us - service->mean_us) / SERVICE_SAMPLE_SHARE;
+}
+
+/* The class to compare by: short requests vary least. */
+static gboolean
+reference_class (const WaAdmission *admission, WcClass *result)
+{
+  static const WcClass order[] = { WC_CLASS_SHORT, WC_CLASS_MIXED, WC_CLASS_LONG };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (order); i++)
+    if (admission->service[order[i]].samples >= SERVICE_SAMPLES_MIN)
+      {
+        *result = order[i];
+        return TRUE;
+      }
+  return FALSE;
+}
+
+guint32
+wa_evidence_flags (const WaAdmission *admission)
+{
+  WcClass class;
+  gint64 mean_ms;
+
+  if (!reference_class (admission, &class))
+    return 0;
+  mean_ms = MIN (admission->service[class].mean_us / WB_US_PER_MS, SERVICE_MS_MAX);
+  return ((guint32) class << SERVICE_CLASS_SHIFT) | ((guint32) mean_ms << SERVICE_SHIFT);
+}
+
+static gint
+compare_means (gconstpointer a, gconstpointer b)
+{
+  return *(const gint *) a - *(const gint *) b;
+}
+
+/* Median of the mean service times that peers reported for @class, or 0. */
+static gint
+median_of_peers (const WaAdmission *admission, WcClass class, gint64 now_us)
+{
+  g_autoptr (GArray) means = g_array_new (FALSE, FALSE, sizeof (gint));
+  guint i;
+
+  for (i = 0; i < admission->peers->len; i++)
+    {
+      const WaPeer *peer = g_ptr_array_index (admission->peers, i);
+      gint mean_ms = (gint) (peer->report.flags >> SERVICE_SHIFT) & SERVICE_MS_MAX;
+
+      if (peer->reported_us == 0 || now_us - peer->reported_us > SERVICE_REPORT_AGE_US ||
+          mean_ms == 0 || peer->report.flags >> SERVICE_CLASS_SHIFT != class)
+        continue;
+      g_array_append_val (means, mean_ms);
+    }
+  if (means->len < SERVICE_PEERS_MIN)
+    return 0;
+  g_array_sort (means, compare_means);
+  return g_array_index (means, gint, means->len / 2);
+}
+
+/* Whether the own server takes much longer than the peers' servers. */
+gboolean
+wa_evidence_is_slow (const WaAdmission *admission, gint64 now_us)
+{
+  WcClass class;
+  gint median_ms;
+
+  if (!reference_class (admission, &class))
+    return FALSE;
+  median_ms = median_of_peers (admission, class, now_us);
+  return median_ms > 0 &&
+         (gdouble) admission->service[class].mean_us >= SLOW_FACTOR * median_ms * WB_US_PER_MS;
+}
+
+static void
+contradict (WaAdmission *admission, WaPeer *peer, gint64 now_us)
+{
+  if (now_us - peer->contradicted_us > CONTRADICTION_WINDOW_US)
+    peer->contradictions = 0;
+  peer->contradicted_us = now_us;
+  if (++peer->contradictions < CONTRADICTION_LIMIT)
+    return;
+  peer->contradictions = 0;
+  peer->distrust_us = CLAMP (2 * peer->distrust_us, DISTRUST_MIN_US, DISTRUST_MAX_US);
+  peer->distrusted_until_us = now_us + peer->distrust_us;
+  wb_counters_add (admission->counters, WA_COUNTER_DISTRUSTED, 1);
+}
+
+/* Compares a report with the offers that the peer has sent: an offer is made only when an initial
+ * packet waits. */
+void
+wa_evidence_check (WaAdmission *admission, WaPeer *peer, gboolean is_offer, gint64 now_us)
+{
+  ww_occupancy *report = &peer->report;
+  guint waiting = report->waiting_short + report->waiting_long;
+
+  if (is_offer)
+    peer->offered_us = now_us;
+  if (peer->offered_us == 0 || now_us - peer->offered_us > OFFER_VALID_US || waiting > 0)
+    return;
+  if (2 * report->busy <= report->slots)
+    contradict (admission, peer, now_us);
+  if (is_offer)
+    report->waiting_short = report->waiting_long = 1;
+}
+
+gboolean
+wa_evidence_distrusted (const WaPeer *peer, gint64 now_us)
+{
+  return now_us < peer->distrusted_until_us;
+}
--- a/admission/wa-peers.c
+++ b/admission/wa-peers.c
@@ -15,11 +15,16 @@
   return NULL;
 }
 
-void
-wa_peer_report (WaPeer *peer, const ww_occupancy *occupancy, gint64 now_us)
+static void
+take_report (WaAdmission *admission,
+             WaPeer *peer,
+             const ww_occupancy *occupancy,
+             gboolean is_offer,
+             gint64 now_us)
 {
   peer->report = *occupancy;
   peer->reported_us = now_us;
+  wa_evidence_check (admission, peer, is_offer, now_us);
 }
 
 void
@@ -81,20 +86,21 @@
   switch (body->kind)
     {
     case WW_PEER_OCCUPANCY_REQUEST:
-      wa_peer_report (peer, &body->ww_peer_body_u.occupancy_request.occupancy, now_us);
+      take_report (admission, peer, &body->ww_peer_body_u.occupancy_request.occupancy, FALSE,
+                   now_us);
       wa_peer_answer (admission, peer->id, body->ww_peer_body_u.occupancy_request.request_id,
                       now_us);
       break;
     case WW_PEER_OCCUPANCY_REPLY:
-      wa_peer_report (peer, &body->ww_peer_body_u.occupancy_reply.occupancy, now_us);
+      take_report (admission, peer, &body->ww_peer_body_u.occupancy_reply.occupancy, FALSE, now_us);
       wa_pull_declined (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id);
       wa_place_reply (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id, now_us);
       break;
     case WW_PEER_OFFER:
-      wa_peer_report (peer, &body->ww_peer_body_u.offer.occupancy, now_us);
+      take_report (admission, peer, &body->ww_peer_body_u.offer.occupancy, TRUE, now_us);
       break;
     case WW_PEER_PULL:
-      wa_peer_report (peer, &body->ww_peer_body_u.pull.occupancy, now_us);
+      take_report (admission, peer, &body->ww_peer_body_u.pull.occupancy, FALSE, now_us);
       wa_pull_answer (admission, peer, &body->ww_peer_body_u.pull, now_us);
       break;
     case WW_PEER_REGISTER:
--- a/admission/wa-place.c
+++ b/admission/wa-place.c
@@ -1,5 +1,10 @@
 #include "wa-private.h"
 
+/* Loads of endpoints without a usable report; all above a real one. */
+#define DISTRUSTED_LOAD (G_MAXUINT64 - 4)
+#define NO_REPLY_LOAD (G_MAXUINT64 - 3)
+#define LAST_LOAD (G_MAXUINT64 - 2)
+
 /* Occupancy relative to the slots, in thousandths. Flows placed after the report was made are
  * added, because the report does not contain them. */
 static guint64
@@ -11,23 +16,30 @@
   return report->slots == 0 ? G_MAXUINT32 : work * 1000 / report->slots;
 }
 
+/* Draining and suspected endpoints, and those whose server does not answer, come last. An endpoint
+ * whose reports were wrong counts as full: it comes after any endpoint with a free slot. */
 static guint64
 candidate_load (WaAdmission *admission, const WaCandidate *candidate, gint64 now_us)
 {
   ww_occupancy report;
-  const WaPeer *peer;
+  guint placed_since = 0;
+  const WaPeer *peer = NULL;
 
   if (candidate->id == admission->self_id)
+    report = wa_admission_occupancy (admission, now_us);
+  else
     {
-      report = wa_admission_occupancy (admission, now_us);
-      return load_of (&report, 0);
+      peer = wa_peer_get (admission, candidate->id);
+      if (peer == NULL || !candidate->replied)
+        return NO_REPLY_LOAD;
+      report = peer->report;
+      placed_since = peer->placed - candidate->placed;
     }
-  peer = wa_peer_get (admission, candidate->id);
-  if (peer == NULL || !candidate->replied)
-    return G_MAXUINT64;
-  if ((peer->report.flags & (WA_OCCUPANCY_DRAINING | WA_OCCUPANCY_NOT_ANSWERING)) != 0)
-    return G_MAXUINT64 - 1;
-  return load_of (&peer->report, peer->placed - candidate->placed);
+  if (candidate->last || (report.flags & (WA_OCCUPANCY_DRAINING | WA_OCCUPANCY_NOT_ANSWERING)) != 0)
+    return LAST_LOAD;
+  if (peer != NULL && wa_evidence_distrusted (peer, now_us))
+    return DISTRUSTED_LOAD;
+  return load_of (&report, placed_since);
 }
 
 static void
@@ -93,7 +105,7 @@
 
         if (worth != pass || (self && !allow_self))
           continue;
-        candidates[found++] = (WaCandidate){ .id = ranked[i].id };
+        candidates[found++] = (WaCandidate){ .id = ranked[i].id, .last = pass > 0 };
       }
   return found;
 }
@@ -143,9 +155,10 @@
 }
 
 static gboolean
-self_idle (const WaAdmission *admission)
+self_idle (const WaAdmission *admission, gint64 now_us)
 {
-  return wa_slots_busy (admission) == 0 && wa_queue_length (admission) == 0;
+  return wa_slots_busy (admission) == 0 && wa_queue_length (admission) == 0 &&
+         !wa_evidence_not_answering (admission, now_us) && !wa_evidence_is_slow (admission, now_us);
 }
 
 void
@@ -178,7 +191,7 @@
       place_on (admission, flow, candidates[0].id);
       return;
     }
-  if (first_is_self && self_idle (admission))
+  if (first_is_self && self_idle (admission, now_us))
     {
       wb_counters_add (admission->counters, WA_COUNTER_PLACED_IDLE, 1);
       place_on (admission, flow, admission->self_id);
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -47,9 +47,10 @@
   gboolean answered;
   gint64 queued_us;
   gint64 started_us;
-  gint64 charged_us; /* service time that the tenant was charged in advance */
-  GList by_age;      /* in WaAdmission.by_age, or in .reserved */
-  GList by_tenant;   /* in WaTenant.waiting */
+  gint64 requested_us; /* first payload */
+  gint64 charged_us;   /* service time that the tenant was charged in advance */
+  GList by_age;        /* in WaAdmission.by_age, or in .reserved */
+  GList by_tenant;     /* in WaTenant.waiting */
 } WaEntry;
 
 /* A tenant's share of one level. */
@@ -73,13 +74,26 @@
   guint placed;       /* flows placed on the peer by this endpoint */
   guint32 pull_ids[WA_PULL_IDS];
   guint next_pull_id;
+  gint64 offered_us;
+  guint contradictions;
+  gint64 contradicted_us;
+  gint64 distrust_us;
+  gint64 distrusted_until_us;
 } WaPeer;
 
+/* Time from the first payload to the end of the response, of one class. */
+typedef struct
+{
+  guint64 samples;
+  gint64 mean_us;
+} WaService;
+
 typedef struct
 {
   guint64 id;
   gboolean replied;
-  guint placed; /* value of WaPeer.placed at the time of the query */
+  gboolean last; /* draining or suspected: chosen when there is no other */
+  guint placed;  /* value of WaPeer.placed at the time of the query */
 } WaCandidate;
 
 /* A new flow whose endpoint is being chosen. */
@@ -133,6 +147,10 @@
   gdouble short_use; /* slots used by short work, averaged up to short_use_us */
   gint64 short_use_us;
 
+  guint unanswered; /* initial packets in a row */
+  gint64 not_answering_until_us;
+  WaService service[WC_N_CLASSES];
+
   GPtrArray *peers;       /* of WaPeer */
   GHashTable *placements; /* of WaPlacement by flow */
   GQueue placing;
@@ -163,6 +181,8 @@
   WA_COUNTER_GRANTED,
   WA_COUNTER_HANDED_OVER,
   WA_COUNTER_UNKNOWN_PEER,
+  WA_COUNTER_NOT_ANSWERING,
+  WA_COUNTER_DISTRUSTED,
   WA_N_COUNTERS,
 };
 
@@ -201,9 +221,18 @@
 gboolean wa_refuse_on_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us);
 void wa_refuse_sweep (WaAdmission *admission, gint64 now_us);
 
+/* wa-evidence.c */
+void wa_evidence_answered (WaAdmission *admission);
+void wa_evidence_unanswered (WaAdmission *admission, gint64 now_us);
+gboolean wa_evidence_not_answering (const WaAdmission *admission, gint64 now_us);
+void wa_evidence_service (WaAdmission *admission, WcClass class, gint64 service_us);
+guint32 wa_evidence_flags (const WaAdmission *admission);
+gboolean wa_evidence_is_slow (const WaAdmission *admission, gint64 now_us);
+void wa_evidence_check (WaAdmission *admission, WaPeer *peer, gboolean is_offer, gint64 now_us);
+gboolean wa_evidence_distrusted (const WaPeer *peer, gint64 now_us);
+
 /* wa-peers.c */
 WaPeer *wa_peer_get (const WaAdmission *admission, guint64 id);
-void wa_peer_report (WaPeer *peer, const ww_occupancy *occupancy, gint64 now_us);
 void wa_peer_send (WaAdmission *admission, guint64 id, const ww_peer_body *body);
 
 void wa_peer_answer (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us);
--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -90,7 +90,8 @@
   guint usable = wa_slots_usable (admission, now_us);
   WaPeer *peer;
 
-  if (!pulling_enabled (admission) || admission->draining)
+  if (!pulling_enabled (admission) || admission->draining ||
+      wa_evidence_not_answering (admission, now_us))
     return FALSE;
   while (wa_slots_busy (admission) + admission->pulls->len < usable)
     {
@@ -109,7 +110,8 @@
 {
   guint usable = wa_slots_usable (admission, now_us);
 
-  if (!pulling_enabled (admission) || admission->draining)
+  if (!pulling_enabled (admission) || admission->draining ||
+      wa_evidence_not_answering (admission, now_us))
     return;
   while (wa_slots_busy (admission) + admission->pulls->len < usable)
     {
@@ -217,7 +219,7 @@
       guint load = peer->report.busy + peer->report.waiting_short + peer->report.waiting_long;
 
       if (peer->draining || peer->suspected || load >= least ||
-          (peer->report.flags & WA_OCCUPANCY_DRAINING) != 0)
+          (peer->report.flags & (WA_OCCUPANCY_DRAINING | WA_OCCUPANCY_NOT_ANSWERING)) != 0)
         continue;
       least = load;
       best = peer;
--- a/admission/wa-queue.c
+++ b/admission/wa-queue.c
@@ -117,20 +117,19 @@
 }
 
 static WaEntry *
-next_to_admit (WaAdmission *admission, gint64 now_us)
+next_to_admit (WaAdmission *admission, gboolean *aged, gint64 now_us)
 {
   gboolean rest_free = wa_slots_free (admission, WA_LEVEL_REST, now_us);
   WaEntry *entry;
 
+  *aged = FALSE;
   if (!rest_free && !wa_slots_free (admission, WA_LEVEL_SHORT, now_us))
     return NULL;
   if (rest_free && rest_is_aged (admission, now_us))
     {
-      admission->last_was_aged = TRUE;
-      wb_counters_add (admission->counters, WA_COUNTER_AGED, 1);
+      *aged = TRUE;
       return wa_queue_next (admission, WA_LEVEL_REST, FALSE);
     }
-  admission->last_was_aged = FALSE;
   entry = wa_queue_next (admission, WA_LEVEL_SHORT, FALSE);
   if (entry != NULL || !rest_free)
     return entry;
@@ -143,12 +142,16 @@
 wa_queue_dispatch (WaAdmission *admission, gint64 now_us)
 {
   WaEntry *entry;
+  gboolean aged;
 
-  while ((entry = next_to_admit (admission, now_us)) != NULL)
+  while ((entry = next_to_admit (admission, &aged, now_us)) != NULL)
     {
       WbHandle flow = entry->flow;
       gboolean initial = entry->state == WA_ENTRY_WAITING_OPEN;
 
+      admission->last_was_aged = aged;
+      if (aged)
+        wb_counters_add (admission->counters, WA_COUNTER_AGED, 1);
       wa_queue_remove (admission, entry);
       wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
       wb_histogram_record (
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -62,6 +62,8 @@
   tenant->service_us += (gdouble) entry->charged_us / tenant->weight;
   tenant->in_use++;
   admission->in_use[level]++;
+  if (state == WA_ENTRY_BUSY)
+    entry->requested_us = now_us;
   if (state == WA_ENTRY_RESERVED)
     g_queue_push_tail_link (&admission->reserved, &entry->by_age);
 }
@@ -81,6 +83,8 @@
   tenant->in_use--;
   admission->in_use[level]--;
   wa_predict_record (admission, entry->class, used_us);
+  if (entry->state == WA_ENTRY_BUSY && entry->requested_us != 0)
+    wa_evidence_service (admission, entry->class, now_us - entry->requested_us);
   g_hash_table_remove (admission->entries, &entry->flow);
 }
 
@@ -96,6 +100,8 @@
       if (now_us - entry->started_us < admission->open_reserve_us)
         return;
       wb_counters_add (admission->counters, WA_COUNTER_RESERVE_EXPIRED, 1);
+      if (!entry->answered)
+        wa_evidence_unanswered (admission, now_us);
       wa_slots_release (admission, entry, now_us);
     }
 }
