Add the agent's decision core

The daemons need the flow package to link and to carry packets.

Flows and registry entries are rows found through an index of handles; each row has at most one deadline in a heap that knows the row's position, so a packet that moves the idle time does not add heap items. GHashTable was ruled out for the index because it needs a separately allocated key per flow.

Before this change the package had no code. Each further mechanism still lacks its named test.

--- /dev/null
+++ b/flow/wf-counter.c
@@ -0,0 +1,55 @@
+#include "wf-private.h"
+
+const WbCounterDef wf_counter_definitions[WF_N_COUNTERS] = {
+  { "flow_received", "Encapsulated packets received." },
+  { "flow_malformed", "Encapsulated packets dropped because they do not parse." },
+  { "flow_delivered", "Packets delivered to the backend server." },
+  { "flow_to_client", "Packets sent towards clients." },
+  { "flow_r1_double_delivery", "Flows found with payload delivered by two holders (R1)." },
+  { "flow_r1_release_sent", "Second holders of a flow told to release it (R1)." },
+  { "flow_r1_released", "Flows released because another endpoint holds them (R1)." },
+  { "flow_r1_release_ignored", "Releases ignored because payload was delivered here (R1)." },
+  { "flow_r2_wrong_service", "Packets dropped because they are not for this service (R2)." },
+  { "flow_r2_outgoing", "Server packets dropped because their address left the service (R2)." },
+  { "flow_r3_refused_initial", "New flows refused before anything was delivered (R3)." },
+  { "flow_r3_refused_request", "Later requests refused before any payload was delivered (R3)." },
+  { "flow_r3_prevented", "Refusals not sent because payload had been delivered (R3)." },
+  { "flow_r4_unknown_sender", "Peer messages dropped for a wrong service or sender (R4)." },
+  { "flow_r4_malformed_message", "Peer messages dropped because they do not decode (R4)." },
+  { "flow_r5_config_older", "Configurations ignored because a newer one is in effect (R5)." },
+  { "flow_placed", "New flows placed on another endpoint." },
+  { "flow_opened", "Flows whose initial packet was delivered here." },
+  { "flow_closed", "Held flows that ended." },
+  { "flow_forwarded_home", "Packets forwarded to the home in the own view." },
+  { "flow_forwarded_chain", "Packets forwarded in rank order." },
+  { "flow_forwarded_holder", "Packets forwarded to the registered holder or along a tombstone." },
+  { "flow_deferred", "Initial packets left to the next rank after a join or a pause." },
+  { "flow_granted", "Queued initial packets handed to a peer." },
+  { "flow_drain_handover", "Initial packets passed on because this endpoint drains." },
+  { "flow_returned", "UDP packets returned to the home at the end of a chain." },
+  { "flow_chain_end", "Packets dropped because no endpoint holds their flow." },
+  { "flow_hop_limit", "Packets dropped at the hop limit." },
+  { "flow_syn_payload", "Initial packets dropped because they carry payload." },
+  { "flow_stale_initial", "Initial packets dropped just after a pause." },
+  { "flow_queue_expired", "Queued initial packets discarded after a pause." },
+  { "flow_outgoing_not_held", "Server packets dropped because their flow is not held here." },
+  { "flow_recovery_probes", "Recovery probes sent to the backend server." },
+  { "flow_recovered", "Flows recovered from the backend server." },
+  { "flow_recovery_absent", "Recovery probes that the server answered with a reset." },
+  { "flow_idle_probes", "Keepalive probes sent on idle flows." },
+  { "flow_idle_closed", "Idle flows removed because the server no longer has them." },
+  { "flow_silent_reset", "Flows reset at the server because the client is silent." },
+  { "flow_registered", "Registrations sent to homes, in flows." },
+  { "flow_register_received", "Registrations received, in flows." },
+  { "flow_unregister_received", "Registrations withdrawn by holders, in flows." },
+  { "flow_registry_expired", "Registry entries that were not refreshed." },
+  { "flow_limit_flows", "Packets dropped because the flow table is full." },
+  { "flow_limit_registry", "Registrations dropped because the registry is full." },
+  { "flow_limit_queued", "Packets dropped because too many bytes are queued." },
+};
+
+void
+wf_count (WfAgent *agent, WfCounter counter)
+{
+  wb_counters_add (agent->counters, counter, 1);
+}
--- /dev/null
+++ b/flow/wf-hold.c
@@ -0,0 +1,221 @@
+#include "wf-private.h"
+
+/* Admission answers a placement within milliseconds; a row left over after this time is dropped. */
+#define PLACING_MAX_US (1 * WB_US_PER_S)
+
+/* Marks a row as a pointer to the endpoint that took the flow over. */
+static void
+leave_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 peer_id)
+{
+  wf_flow_clear_queue (agent, flow);
+  wf_flow_set_state (agent, flow, WF_FLOW_TOMBSTONE);
+  flow->flags = 0;
+  flow->peer_id = peer_id;
+  wf_table_set_due (agent->flows, handle, agent->now_us + WF_TOMBSTONE_US);
+}
+
+static gboolean
+just_resumed (const WfAgent *agent)
+{
+  return wf_enabled (agent, WF_DISABLE_JOIN_DEFERRAL) &&
+         agent->now_us - agent->resumed_us < WF_RESUME_SETTLE_US;
+}
+
+/* Chooses an endpoint for a new flow of which this endpoint is the home. */
+void
+wf_hold_place (WfAgent *agent, WfInput *input)
+{
+  const WaEndpoint *ranked;
+  WbHandle handle;
+  WfFlow *flow;
+  guint count;
+
+  if (just_resumed (agent))
+    {
+      wf_count (agent, WF_COUNTER_STALE_INITIAL);
+      return;
+    }
+  flow = wf_flow_add (agent, &input->key, WF_FLOW_PLACING, &handle);
+  if (flow == NULL)
+    return;
+  flow->hops = (guint8) input->header.hops;
+  flow->flags |= WF_FLAG_ADMISSION;
+  wf_table_set_due (agent->flows, handle, agent->now_us + PLACING_MAX_US);
+  if (!wf_flow_queue (agent, flow, input->data, input->length))
+    {
+      wf_flow_remove (agent, handle);
+      return;
+    }
+  ranked = wf_view_ranked (agent, &input->key, &count);
+  wa_admission_place (agent->admission, handle, ranked, count, !agent->draining, agent->now_us);
+}
+
+/* The initial packet goes to the server. */
+static void
+open_flow (WfAgent *agent, WfFlow *flow, WbHandle handle)
+{
+  wf_flow_set_state (agent, flow, WF_FLOW_HELD);
+  wf_count (agent, WF_COUNTER_FLOWS_OPENED);
+  wf_register_flow (agent, flow);
+  wf_turn_opened (agent, flow, handle);
+}
+
+/* Asks admission for a slot for the initial packet in the row's queue. */
+static void
+ask_admission (WfAgent *agent, WbHandle handle)
+{
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+  const WcPort *port = agent->service == NULL
+                           ? NULL
+                           : wc_service_find_port (agent->service, flow->key.service_port,
+                                                   (guint16) flow->key.protocol);
+  guint retry_after_s = 1;
+  WaVerdict verdict;
+
+  wf_flow_set_state (agent, flow, WF_FLOW_WAITING);
+  wf_table_set_due (agent->flows, handle, WB_NEVER);
+  flow->activity_us = agent->now_us;
+  flow->class = (guint8) (port == NULL ? WC_CLASS_MIXED : port->class);
+  flow->tenant = (guint16) (agent->config == NULL
+                                ? WC_TENANT_OTHER
+                                : wc_config_find_tenant (agent->config, flow->key.client_address));
+  flow->flags |= WF_FLAG_ADMISSION;
+  verdict = wa_admission_open (agent->admission, handle, (WcClass) flow->class, flow->tenant,
+                               &retry_after_s, agent->now_us);
+  flow = wf_table_get (agent->flows, handle);
+  if (flow == NULL || flow->state != WF_FLOW_WAITING)
+    return;
+  switch (verdict)
+    {
+    case WA_ADMITTED:
+      open_flow (agent, flow, handle);
+      break;
+    case WA_REFUSED:
+      wf_refuse_initial (agent, handle, retry_after_s);
+      break;
+    case WA_QUEUED:
+    default:
+      wf_register_flow (agent, flow);
+      break;
+    }
+}
+
+/* An endpoint that can take new flows, for one that drains; 0 when there is none. */
+static guint64
+other_endpoint (WfAgent *agent, const WfInput *input)
+{
+  guint count, i;
+  const WaEndpoint *ranked = wf_view_ranked (agent, &input->key, &count);
+
+  for (i = 0; i < count; i++)
+    if (ranked[i].id != agent->self_id && !ranked[i].draining && !ranked[i].suspected)
+      return ranked[i].id;
+  return 0;
+}
+
+static gboolean
+hand_over (WfAgent *agent, const WfInput *input)
+{
+  guint64 peer_id;
+  WbHandle handle;
+  WfFlow *flow;
+
+  if (!agent->draining || !wf_enabled (agent, WF_DISABLE_DRAIN_HANDOVER))
+    return FALSE;
+  peer_id = other_endpoint (agent, input);
+  if (peer_id == 0)
+    return FALSE;
+  flow = wf_flow_add (agent, &input->key, WF_FLOW_TOMBSTONE, &handle);
+  if (flow != NULL)
+    leave_tombstone (agent, flow, handle, peer_id);
+  wf_count (agent, WF_COUNTER_DRAIN_HANDOVER);
+  wf_route_forward (agent, input, WW_ENCAP_PLACE, peer_id);
+  return TRUE;
+}
+
+/* A new flow has been placed here by the home, by a peer's grant, or along a registry entry. */
+void
+wf_hold_take (WfAgent *agent, WfInput *input)
+{
+  WbHandle handle;
+  WfFlow *flow;
+
+  if (just_resumed (agent))
+    {
+      wf_count (agent, WF_COUNTER_STALE_INITIAL);
+      return;
+    }
+  if (hand_over (agent, input))
+    return;
+  flow = wf_flow_add (agent, &input->key, WF_FLOW_WAITING, &handle);
+  if (flow == NULL)
+    return;
+  flow->hops = (guint8) input->header.hops;
+  if (!wf_flow_queue (agent, flow, input->data, input->length))
+    wf_flow_remove (agent, handle);
+  else
+    ask_admission (agent, handle);
+}
+
+void
+wf_hold_place_cb (gpointer context, WbHandle handle, guint64 endpoint_id)
+{
+  WfAgent *agent = context;
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+
+  if (flow == NULL || flow->state != WF_FLOW_PLACING)
+    return;
+  if (endpoint_id == agent->self_id)
+    {
+      ask_admission (agent, handle);
+      return;
+    }
+  wf_count (agent, WF_COUNTER_FLOWS_PLACED);
+  wf_register_placed (agent, &flow->key, endpoint_id);
+  wf_route_send_queue (agent, flow, WW_ENCAP_PLACE, endpoint_id, agent->self_id);
+  flow->flags &= (guint16) ~WF_FLAG_ADMISSION;
+  wf_flow_remove (agent, handle);
+}
+
+void
+wf_hold_admit_cb (gpointer context, WbHandle handle)
+{
+  WfAgent *agent = context;
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+
+  if (flow == NULL)
+    return;
+  if (flow->state == WF_FLOW_WAITING)
+    open_flow (agent, flow, handle);
+  else if (flow->state == WF_FLOW_HELD)
+    wf_turn_release_queue (agent, handle);
+}
+
+void
+wf_hold_refuse_cb (gpointer context, WbHandle handle, guint retry_after_s)
+{
+  WfAgent *agent = context;
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+
+  if (flow == NULL)
+    return;
+  if (flow->state == WF_FLOW_WAITING)
+    wf_refuse_initial (agent, handle, retry_after_s);
+  else if (flow->state == WF_FLOW_HELD && flow->key.protocol == WW_PROTOCOL_UDP)
+    wf_udp_refuse_queue (agent, flow, retry_after_s);
+  else if (flow->state == WF_FLOW_HELD)
+    wf_refuse_request (agent, handle, retry_after_s);
+}
+
+void
+wf_hold_grant_cb (gpointer context, WbHandle handle, guint64 endpoint_id)
+{
+  WfAgent *agent = context;
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+
+  if (flow == NULL || flow->state != WF_FLOW_WAITING)
+    return;
+  wf_count (agent, WF_COUNTER_GRANTED);
+  wf_route_send_queue (agent, flow, WW_ENCAP_GRANT, endpoint_id, wf_view_home (agent, &flow->key));
+  leave_tombstone (agent, flow, handle, endpoint_id);
+}
--- /dev/null
+++ b/flow/wf-refuse.c
@@ -0,0 +1,269 @@
+#include "wf-private.h"
+
+#include <string.h>
+
+/* The refusal fits one segment on every path. */
+#define TEXT_MAX 1200
+#define RETRANSMIT_US (500 * WB_US_PER_MS)
+#define RETRANSMIT_MAX 6
+
+/* Time that a client has between the handshake and its first payload. */
+#define FIRST_PAYLOAD_US (10 * WB_US_PER_S)
+#define FINISHED_LINGER_US (2 * WB_US_PER_S)
+#define REFUSAL_WINDOW 8192
+
+static gchar *
+refusal_text (const WfAgent *agent, guint retry_after_s)
+{
+  const gchar *pattern = agent->service == NULL || agent->service->refusal_text == NULL
+                             ? ""
+                             : agent->service->refusal_text;
+  GString *text = g_string_new (pattern);
+  g_autofree gchar *number = g_strdup_printf ("%u", retry_after_s);
+
+  g_string_replace (text, "{retry_after}", number, 0);
+  if (text->len > TEXT_MAX)
+    g_string_truncate (text, TEXT_MAX);
+  return g_string_free (text, FALSE);
+}
+
+static WwPacket
+towards_client (const WfFlow *flow)
+{
+  WwPacket packet = {
+    .source_address = flow->key.service_address,
+    .destination_address = flow->key.client_address,
+    .source_port = flow->key.service_port,
+    .destination_port = flow->key.client_port,
+    .protocol = flow->key.protocol,
+    .acknowledgment = flow->client_next,
+    .window = REFUSAL_WINDOW,
+  };
+
+  return packet;
+}
+
+static void
+send_segment (WfAgent *agent, const WfFlow *flow, guint8 flags, guint32 sequence, const gchar *text)
+{
+  WwPacket packet = towards_client (flow);
+  g_autoptr (GByteArray) bytes = NULL;
+
+  packet.tcp_flags = flags;
+  packet.sequence = sequence;
+  packet.payload = (const guint8 *) text;
+  packet.payload_length = text == NULL ? 0 : strlen (text);
+  bytes = ww_packet_build_tcp (&packet);
+  wf_to_client (agent, bytes->data, bytes->len);
+}
+
+/* server_next is the first sequence number of the text, or of the SYN while the agent's own
+ * handshake is under way. */
+static void
+send_handshake (WfAgent *agent, const WfFlow *flow)
+{
+  send_segment (agent, flow, WW_TCP_SYN | WW_TCP_ACK, flow->server_next - 1, NULL);
+}
+
+static guint32
+text_end (const WfAgent *agent, const WfFlow *flow)
+{
+  g_autofree gchar *text = refusal_text (agent, flow->retry_after_s);
+
+  return flow->server_next + (guint32) strlen (text) + 1;
+}
+
+static void
+send_text (WfAgent *agent, WfFlow *flow, WbHandle handle)
+{
+  g_autofree gchar *text = refusal_text (agent, flow->retry_after_s);
+
+  flow->flags |= WF_FLAG_TEXT_SENT;
+  send_segment (agent, flow, WW_TCP_PSH | WW_TCP_ACK | WW_TCP_FIN, flow->server_next, text);
+  wf_table_set_due (agent->flows, handle, agent->now_us + RETRANSMIT_US);
+}
+
+/* A refused datagram gets the text as its answer. */
+void
+wf_refuse_datagram (WfAgent *agent, const WfFlow *flow, guint retry_after_s)
+{
+  g_autofree gchar *text = refusal_text (agent, retry_after_s);
+  WwPacket packet = towards_client (flow);
+  g_autoptr (GByteArray) bytes = NULL;
+
+  wf_count (agent, WF_COUNTER_R3_REFUSED_REQUEST);
+  packet.payload = (const guint8 *) text;
+  packet.payload_length = strlen (text);
+  bytes = ww_packet_build_udp (&packet);
+  wf_to_client (agent, bytes->data, bytes->len);
+}
+
+/* The sequence number after the contiguous payload in the queue. */
+static guint32
+queued_end (const WfFlow *flow, gboolean *fin)
+{
+  guint32 end = flow->client_next;
+  guint i;
+
+  *fin = FALSE;
+  for (i = 0; flow->queue != NULL && i < flow->queue->len; i++)
+    {
+      WwPacket packet;
+      gsize length;
+      const guint8 *data = g_bytes_get_data (g_ptr_array_index (flow->queue, i), &length);
+
+      if (ww_packet_parse (data, length, &packet) != WW_PACKET_OK)
+        continue;
+      if (wf_seq_diff (packet.sequence, end) > 0)
+        continue;
+      if (wf_seq_diff (packet.sequence + ww_packet_sequence_length (&packet), end) <= 0)
+        continue;
+      end = packet.sequence + ww_packet_sequence_length (&packet);
+      if (packet.tcp_flags & WW_TCP_FIN)
+        *fin = TRUE;
+    }
+  return end;
+}
+
+/* Refuses a flow of which the server has seen nothing: the agent completes the handshake. */
+void
+wf_refuse_initial (WfAgent *agent, WbHandle handle, guint retry_after_s)
+{
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+  WwPacket packet = { 0 };
+  gsize length = 0;
+  const guint8 *data = NULL;
+
+  if (flow->key.protocol == WW_PROTOCOL_UDP)
+    {
+      wf_refuse_datagram (agent, flow, retry_after_s);
+      wf_flow_remove (agent, handle);
+      return;
+    }
+  wf_count (agent, WF_COUNTER_R3_REFUSED_INITIAL);
+  if (flow->queue != NULL && flow->queue->len > 0)
+    data = g_bytes_get_data (g_ptr_array_index (flow->queue, 0), &length);
+  if (data == NULL || ww_packet_parse (data, length, &packet) != WW_PACKET_OK)
+    {
+      wf_flow_remove (agent, handle);
+      return;
+    }
+  wf_flow_set_state (agent, flow, WF_FLOW_REFUSING);
+  flow->flags = (guint16) ((flow->flags & WF_FLAG_REGISTERED) | WF_FLAG_OWN_HANDSHAKE);
+  flow->client_next = packet.sequence + 1;
+  flow->server_next = g_rand_int (agent->random);
+  flow->client_ack = flow->server_next - 1;
+  flow->retry_after_s = (guint16) MIN (retry_after_s, G_MAXUINT16);
+  flow->tries = 0;
+  wf_flow_clear_queue (agent, flow);
+  send_handshake (agent, flow);
+  wf_table_set_due (agent->flows, handle, agent->now_us + FIRST_PAYLOAD_US);
+}
+
+/* Refuses a later request: the text goes into the server's sequence space, and the server, which
+ * has not seen the payload, loses the connection. */
+void
+wf_refuse_request (WfAgent *agent, WbHandle handle, guint retry_after_s)
+{
+  WfFlow *flow = wf_table_get (agent->flows, handle);
+  gboolean fin;
+
+  if (flow->flags & WF_FLAG_REQUEST)
+    {
+      wf_count (agent, WF_COUNTER_R3_PREVENTED);
+      return;
+    }
+  wf_count (agent, WF_COUNTER_R3_REFUSED_REQUEST);
+  wf_probe_reset_server (agent, flow);
+  flow->client_next = queued_end (flow, &fin);
+  wf_flow_clear_queue (agent, flow);
+  wf_flow_set_state (agent, flow, WF_FLOW_REFUSING);
+  flow->flags &= (guint16) (WF_FLAG_REGISTERED | WF_FLAG_DELIVERED);
+  if (fin)
+    flow->flags |= WF_FLAG_CLIENT_FIN;
+  flow->retry_after_s = (guint16) MIN (retry_after_s, G_MAXUINT16);
+  flow->tries = 0;
+  send_text (agent, flow, handle);
+  wa_admission_remove (agent->admission, handle, agent->now_us);
+}
+
+/* Takes the client's payload and FIN into account, in order only. */
+static void
+accept_segment (WfFlow *flow, const WwPacket *packet)
+{
+  guint32 payload_end = packet->sequence + (guint32) packet->payload_length;
+
+  if (wf_seq_diff (packet->sequence, flow->client_next) > 0 || (flow->flags & WF_FLAG_CLIENT_FIN))
+    return;
+  if (wf_seq_diff (payload_end, flow->client_next) > 0)
+    flow->client_next = payload_end;
+  if ((packet->tcp_flags & WW_TCP_FIN) && payload_end == flow->client_next)
+    {
+      flow->client_next++;
+      flow->flags |= WF_FLAG_CLIENT_FIN;
+    }
+}
+
+static gboolean
+is_acknowledged (const WfAgent *agent, const WfFlow *flow)
+{
+  return (flow->flags & WF_FLAG_TEXT_SENT) &&
+         wf_seq_diff (flow->client_ack, text_end (agent, flow)) >= 0;
+}
+
+static void
+answer_segment (WfAgent *agent, WfFlow *flow, WbHandle handle, const WwPacket *packet)
+{
+  guint32 before = flow->client_next;
+
+  accept_segment (flow, packet);
+  if ((flow->flags & WF_FLAG_TEXT_SENT) == 0)
+    {
+      if (flow->client_next != before)
+        send_text (agent, flow, handle);
+      return;
+    }
+  if (packet->payload_length > 0 || (packet->tcp_flags & WW_TCP_FIN))
+    send_segment (agent, flow, WW_TCP_ACK, text_end (agent, flow), NULL);
+  if (is_acknowledged (agent, flow) && (flow->flags & WF_FLAG_CLIENT_FIN))
+    wf_table_set_due (agent->flows, handle, agent->now_us + FINISHED_LINGER_US);
+}
+
+/* Returns FALSE when the packet begins a new connection of the same 5-tuple. */
+gboolean
+wf_refuse_from_client (WfAgent *agent, WfFlow *flow, WbHandle handle, const WfInput *input)
+{
+  const WwPacket *packet = &input->packet;
+
+  if (input->status != WW_PACKET_OK)
+    return TRUE;
+  if (packet->tcp_flags & WW_TCP_RST)
+    {
+      wf_flow_remove (agent, handle);
+      return TRUE;
+    }
+  if (packet->tcp_flags & WW_TCP_SYN)
+    {
+      if ((flow->flags & WF_FLAG_OWN_HANDSHAKE) == 0 || packet->sequence + 1 != flow->client_next)
+        return (flow->flags & WF_FLAG_TEXT_SENT) == 0 || !is_acknowledged (agent, flow);
+      send_handshake (agent, flow);
+      return TRUE;
+    }
+  if ((packet->tcp_flags & WW_TCP_ACK) &&
+      wf_seq_diff (packet->acknowledgment, flow->client_ack) > 0)
+    flow->client_ack = packet->acknowledgment;
+  answer_segment (agent, flow, handle, packet);
+  return TRUE;
+}
+
+void
+wf_refuse_due (WfAgent *agent, WfFlow *flow, WbHandle handle)
+{
+  if ((flow->flags & WF_FLAG_TEXT_SENT) == 0 || is_acknowledged (agent, flow) ||
+      ++flow->tries > RETRANSMIT_MAX)
+    {
+      wf_flow_remove (agent, handle);
+      return;
+    }
+  send_text (agent, flow, handle);
+}
--- /dev/null
+++ b/flow/wf-register.c
@@ -0,0 +1,230 @@
+#include "wf-private.h"
+
+#define FLUSH_INTERVAL_US (1 * WB_US_PER_S)
+
+/* A refresh round takes six ticks of 10 s, so that each flow is registered every 60 s. */
+#define REFRESH_TICKS 6
+
+/* Life of an entry that the home made itself, until the holder registers: longer than the wait of
+ * a queued initial packet. */
+#define PLACED_LIFE_US (60 * WB_US_PER_S)
+
+static void
+send_batch (WfAgent *agent, WfBatch *batch)
+{
+  ww_peer message = { .service_id = agent->service_id, .sender_id = agent->self_id };
+  const WfEndpoint *self = NULL;
+  guint i;
+
+  for (i = 0; i < agent->endpoints->len && self == NULL; i++)
+    if (g_array_index (agent->endpoints, WfEndpoint, i).id == agent->self_id)
+      self = &g_array_index (agent->endpoints, WfEndpoint, i);
+  message.body.kind = batch->kind;
+  message.body.ww_peer_body_u.registration.incarnation = self == NULL ? 0 : self->incarnation;
+  message.body.ww_peer_body_u.registration.flows.flows_len = batch->count;
+  message.body.ww_peer_body_u.registration.flows.flows_val = batch->flows;
+  g_byte_array_set_size (agent->datagram, 0);
+  if (ww_peer_encode (&message, agent->datagram))
+    agent->callbacks.to_endpoint (agent->callbacks.context, batch->endpoint_id,
+                                  agent->datagram->data, agent->datagram->len);
+  batch->count = 0;
+}
+
+static WfBatch *
+find_batch (WfAgent *agent, guint64 endpoint_id, ww_peer_kind kind)
+{
+  WfBatch *batch;
+  guint i;
+
+  for (i = 0; i < agent->batches->len; i++)
+    {
+      batch = g_ptr_array_index (agent->batches, i);
+      if (batch->endpoint_id == endpoint_id && batch->kind == kind)
+        return batch;
+    }
+  batch = g_new0 (WfBatch, 1);
+  batch->endpoint_id = endpoint_id;
+  batch->kind = kind;
+  g_ptr_array_add (agent->batches, batch);
+  return batch;
+}
+
+static void
+add_to_batch (WfAgent *agent, guint64 endpoint_id, ww_peer_kind kind, const WfFlow *flow)
+{
+  WfBatch *batch = find_batch (agent, endpoint_id, kind);
+  ww_flow_entry *entry = &batch->flows[batch->count++];
+
+  entry->flow = ww_flow_key_to_wire (&flow->key);
+  entry->flags = 0;
+  if (flow->flags & WF_FLAG_DELIVERED)
+    entry->flags |= WF_ENTRY_DELIVERED;
+  if (flow->state == WF_FLOW_WAITING)
+    entry->flags |= WF_ENTRY_WAITING;
+  if (batch->count == WW_MAX_REGISTER_FLOWS)
+    send_batch (agent, batch);
+}
+
+void
+wf_register_flush (WfAgent *agent)
+{
+  guint i;
+
+  for (i = 0; i < agent->batches->len; i++)
+    {
+      WfBatch *batch = g_ptr_array_index (agent->batches, i);
+
+      if (batch->count > 0)
+        send_batch (agent, batch);
+    }
+  g_ptr_array_set_size (agent->batches, 0);
+  agent->flush_us = WB_NEVER;
+}
+
+static gboolean
+is_registrable (const WfFlow *flow)
+{
+  return flow->state == WF_FLOW_HELD || flow->state == WF_FLOW_WAITING ||
+         flow->state == WF_FLOW_REFUSING;
+}
+
+/* Adds the flow to the registrations for its home. Returns whether its home is elsewhere. */
+static gboolean
+collect (WfAgent *agent, WfFlow *flow)
+{
+  flow->home_id = wf_view_home (agent, &flow->key);
+  if (flow->home_id == agent->self_id || !wf_enabled (agent, WF_DISABLE_REGISTER))
+    return FALSE;
+  wf_count (agent, WF_COUNTER_REGISTERED);
+  flow->flags |= WF_FLAG_REGISTERED;
+  add_to_batch (agent, flow->home_id, WW_PEER_REGISTER, flow);
+  return TRUE;
+}
+
+/* Tells the home of a flow placed here, at once. */
+void
+wf_register_flow (WfAgent *agent, WfFlow *flow)
+{
+  WfBatch *batch;
+
+  if (!collect (agent, flow))
+    return;
+  batch = find_batch (agent, flow->home_id, WW_PEER_REGISTER);
+  if (batch->count > 0)
+    send_batch (agent, batch);
+}
+
+/* Tells the home that a flow is no longer held, with the next batch. */
+void
+wf_register_gone (WfAgent *agent, const WfFlow *flow)
+{
+  if ((flow->flags & WF_FLAG_REGISTERED) == 0)
+    return;
+  add_to_batch (agent, flow->home_id, WW_PEER_UNREGISTER, flow);
+  agent->flush_us = MIN (agent->flush_us, agent->now_us + FLUSH_INTERVAL_US);
+}
+
+/* Registers a part of the flows again. The walk continues where the last one ended. */
+void
+wf_register_refresh (WfAgent *agent)
+{
+  guint left = wf_table_count (agent->flows) / REFRESH_TICKS + 1;
+  WfFlow *flow;
+
+  while (left-- > 0)
+    {
+      flow = wf_table_next (agent->flows, &agent->refresh_cursor, NULL);
+      if (flow == NULL)
+        {
+          agent->refresh_cursor = 0;
+          break;
+        }
+      if (is_registrable (flow))
+        (void) collect (agent, flow);
+    }
+  wf_register_flush (agent);
+}
+
+static gboolean
+restarted (const WfAgent *agent, const GArray *previous, guint64 id)
+{
+  guint64 before = 0, after = 0;
+  guint i;
+
+  for (i = 0; i < previous->len; i++)
+    if (g_array_index (previous, WfEndpoint, i).id == id)
+      before = g_array_index (previous, WfEndpoint, i).incarnation;
+  for (i = 0; i < agent->endpoints->len; i++)
+    if (g_array_index (agent->endpoints, WfEndpoint, i).id == id)
+      after = g_array_index (agent->endpoints, WfEndpoint, i).incarnation;
+  return before != after;
+}
+
+/* Registers the flows whose home moved or restarted. */
+void
+wf_register_view_changed (WfAgent *agent, const GArray *previous)
+{
+  guint32 cursor = 0;
+  WfFlow *flow;
+
+  while ((flow = wf_table_next (agent->flows, &cursor, NULL)) != NULL)
+    {
+      guint64 home_id;
+
+      if (!is_registrable (flow))
+        continue;
+      home_id = wf_view_home (agent, &flow->key);
+      if (home_id != flow->home_id || restarted (agent, previous, home_id))
+        (void) collect (agent, flow);
+    }
+  wf_register_flush (agent);
+}
+
+WfEntry *
+wf_register_find (WfAgent *agent, const WwFlowKey *key, WbHandle *handle)
+{
+  return wf_table_find (agent->registry, key, handle);
+}
+
+/* Notes where this home has placed a flow, before the holder registers it. */
+void
+wf_register_placed (WfAgent *agent, const WwFlowKey *key, guint64 holder_id)
+{
+  WbHandle handle;
+  gpointer row = wf_register_find (agent, key, &handle);
+  WfEntry *entry = row;
+
+  if (entry == NULL)
+    {
+      if (wf_table_count (agent->registry) >= agent->options.max_registry)
+        {
+          wf_count (agent, WF_COUNTER_LIMIT_REGISTRY);
+          return;
+        }
+      handle = wf_table_add (agent->registry, key, &row);
+      entry = row;
+    }
+  entry->holder_id = holder_id;
+  entry->provisional = TRUE;
+  entry->flags = WF_ENTRY_WAITING;
+  entry->expires_us = agent->now_us + PLACED_LIFE_US;
+  wf_table_set_due (agent->registry, handle, entry->expires_us);
+}
+
+void
+wf_register_due (WfAgent *agent)
+{
+  WbHandle handle;
+  WfEntry *entry;
+
+  while ((entry = wf_table_pop_due (agent->registry, agent->now_us, &handle)) != NULL)
+    {
+      if (entry->expires_us > agent->now_us)
+        {
+          wf_table_set_due (agent->registry, handle, entry->expires_us);
+          continue;
+        }
+      wf_count (agent, WF_COUNTER_REGISTRY_EXPIRED);
+      wf_table_remove (agent->registry, handle);
+    }
+}
--- /dev/null
+++ b/flow/wf-route.c
@@ -0,0 +1,318 @@
+#include "wf-private.h"
+
+gboolean
+wf_route_in_service (const WfAgent *agent, const WwFlowKey *key)
+{
+  const WcService *service;
+
+  if (!wf_enabled (agent, WF_DISABLE_SERVICE_CHECK))
+    return TRUE;
+  if (agent->config == NULL)
+    return FALSE;
+  service = wc_config_find_service (agent->config, key->service_address, key->service_port,
+                                    (guint16) key->protocol);
+  return service != NULL && service->id == agent->service_id;
+}
+
+static void
+send_packet (WfAgent *agent,
+             ww_encap_kind kind,
+             guint hops,
+             guint64 home_id,
+             guint64 endpoint_id,
+             const guint8 *data,
+             gsize length)
+{
+  ww_encap header = {
+    .kind = kind,
+    .hops = hops,
+    .service_id = agent->service_id,
+    .config_version = agent->config == NULL ? 0 : agent->config->version,
+    .home_id = home_id,
+    .sender_id = agent->self_id,
+  };
+
+  if (hops > WW_MAX_HOPS)
+    {
+      wf_count (agent, WF_COUNTER_HOP_LIMIT);
+      return;
+    }
+  g_byte_array_set_size (agent->datagram, 0);
+  ww_encap_append (agent->datagram, &header, data, length);
+  agent->callbacks.to_endpoint (agent->callbacks.context, endpoint_id, agent->datagram->data,
+                                agent->datagram->len);
+}
+
+void
+wf_route_forward (WfAgent *agent, const WfInput *input, ww_encap_kind kind, guint64 endpoint_id)
+{
+  guint64 home_id =
+      kind == WW_ENCAP_CHAIN ? input->header.home_id : wf_view_home (agent, &input->key);
+
+  send_packet (agent, kind, input->header.hops + 1, home_id, endpoint_id, input->data,
+               input->length);
+}
+
+/* Sends the packets kept for a flow to another endpoint. */
+void
+wf_route_send_queue (
+    WfAgent *agent, WfFlow *flow, ww_encap_kind kind, guint64 endpoint_id, guint64 home_id)
+{
+  guint i;
+
+  for (i = 0; flow->queue != NULL && i < flow->queue->len; i++)
+    {
+      gsize length;
+      const guint8 *data = g_bytes_get_data (g_ptr_array_index (flow->queue, i), &length);
+
+      send_packet (agent, kind, flow->hops + 1U, home_id, endpoint_id, data, length);
+    }
+  wf_flow_clear_queue (agent, flow);
+}
+
+static gboolean
+is_initial (const WfInput *input)
+{
+  return input->status == WW_PACKET_OK && input->key.protocol == WW_PROTOCOL_TCP &&
+         (input->packet.tcp_flags & (WW_TCP_SYN | WW_TCP_ACK | WW_TCP_RST)) == WW_TCP_SYN;
+}
+
+/* Passes a packet on in rank order. At the end of the chain the own server is asked, unless it has
+ * been asked already. */
+void
+wf_route_chain (WfAgent *agent, WfInput *input, gboolean probed)
+{
+  guint64 next_id = wf_enabled (agent, WF_DISABLE_CHAIN) ? wf_view_next (agent, &input->key) : 0;
+
+  if (next_id != 0)
+    {
+      wf_count (agent, WF_COUNTER_FORWARDED_CHAIN);
+      wf_route_forward (agent, input, WW_ENCAP_CHAIN, next_id);
+      return;
+    }
+  if (!probed && wf_probe_start (agent, input))
+    return;
+  wf_count (agent, WF_COUNTER_CHAIN_END);
+}
+
+/* An endpoint that has just joined does not know the flows of the previous home yet. */
+static gboolean
+defers_placement (const WfAgent *agent)
+{
+  return wf_enabled (agent, WF_DISABLE_JOIN_DEFERRAL) &&
+         agent->now_us - agent->joined_us < WF_JOIN_DEFERRAL_US;
+}
+
+static void
+unknown_initial (WfAgent *agent, WfInput *input)
+{
+  guint64 home_id = wf_view_home (agent, &input->key);
+  guint64 next_id;
+
+  switch (input->header.kind)
+    {
+    case WW_ENCAP_TO_HOLDER:
+    case WW_ENCAP_PLACE:
+    case WW_ENCAP_GRANT:
+      wf_hold_take (agent, input);
+      return;
+    case WW_ENCAP_FORWARD:
+      if (home_id == agent->self_id)
+        break;
+      wf_count (agent, WF_COUNTER_FORWARDED_HOME);
+      wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
+      return;
+    case WW_ENCAP_CHAIN:
+    case WW_ENCAP_RETURN:
+    default:
+      break;
+    }
+  next_id = defers_placement (agent) ? wf_view_next (agent, &input->key) : 0;
+  if (next_id == 0)
+    {
+      wf_hold_place (agent, input);
+      return;
+    }
+  wf_count (agent, WF_COUNTER_DEFERRED);
+  wf_route_forward (agent, input, WW_ENCAP_CHAIN, next_id);
+}
+
+static void
+unknown_other (WfAgent *agent, WfInput *input)
+{
+  guint64 home_id = wf_view_home (agent, &input->key);
+
+  if (input->header.kind == WW_ENCAP_TO_HOLDER && wf_probe_start (agent, input))
+    return;
+  if (input->header.kind != WW_ENCAP_CHAIN && home_id != agent->self_id)
+    {
+      wf_count (agent, WF_COUNTER_FORWARDED_HOME);
+      wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
+      return;
+    }
+  if (input->header.kind != WW_ENCAP_CHAIN)
+    input->header.home_id = agent->self_id;
+  if (wf_probe_recovering (agent) && wf_probe_start (agent, input))
+    return;
+  wf_route_chain (agent, input, FALSE);
+}
+
+/* Whether the registry names an endpoint that can have the flow. */
+static guint64
+registered_holder (WfAgent *agent, const WfInput *input)
+{
+  WbHandle handle;
+  const WfEntry *entry = wf_register_find (agent, &input->key, &handle);
+
+  if (entry == NULL || entry->holder_id == agent->self_id)
+    return 0;
+  /* The holder itself sends the packet back: it does not hold the flow. */
+  if (entry->holder_id == input->header.sender_id)
+    {
+      wf_table_remove (agent->registry, handle);
+      return 0;
+    }
+  if (wf_view_knows (agent, entry->holder_id))
+    return entry->holder_id;
+  if (is_initial (input))
+    wf_table_remove (agent->registry, handle);
+  return 0;
+}
+
+/* A packet of a flow that has no row here. */
+void
+wf_route_unknown (WfAgent *agent, WfInput *input)
+{
+  guint64 holder_id = registered_holder (agent, input);
+
+  if (is_initial (input) && input->packet.payload_length > 0)
+    {
+      wf_count (agent, WF_COUNTER_SYN_PAYLOAD);
+      return;
+    }
+  if (holder_id != 0)
+    {
+      wf_count (agent, WF_COUNTER_FORWARDED_HOLDER);
+      wf_route_forward (agent, input, WW_ENCAP_TO_HOLDER, holder_id);
+      return;
+    }
+  if (is_initial (input))
+    unknown_initial (agent, input);
+  else if (input->status == WW_PACKET_OK && input->key.protocol == WW_PROTOCOL_UDP)
+    wf_udp_unknown (agent, input);
+  else
+    unknown_other (agent, input);
+}
+
+static void
+along_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, WfInput *input)
+{
+  guint64 peer_id = flow->peer_id;
+  gboolean granted_back =
+      input->header.kind == WW_ENCAP_GRANT && input->header.sender_id == peer_id;
+
+  if (granted_back || (is_initial (input) && !wf_view_knows (agent, peer_id)))
+    {
+      wf_flow_remove (agent, handle);
+      wf_route_unknown (agent, input);
+      return;
+    }
+  wf_count (agent, WF_COUNTER_FORWARDED_HOLDER);
+  wf_route_forward (agent, input, WW_ENCAP_TO_HOLDER, peer_id);
+}
+
+/* A client that gives up while its initial packet waits frees its place. */
+static void
+to_waiting (WfAgent *agent, WfFlow *flow, WbHandle handle, const WfInput *input)
+{
+  if (input->status != WW_PACKET_OK)
+    return;
+  if (input->key.protocol == WW_PROTOCOL_UDP || is_initial (input))
+    (void) wf_flow_queue (agent, flow, input->data, input->length);
+  else if (input->packet.tcp_flags & (WW_TCP_RST | WW_TCP_FIN))
+    wf_flow_remove (agent, handle);
+}
+
+static gboolean
+is_new_connection (const WfFlow *flow, const WfInput *input)
+{
+  return is_initial (input) && (flow->flags & WF_FLAG_CLOSED) &&
+         input->packet.sequence + 1 != flow->client_next;
+}
+
+static void
+to_known (WfAgent *agent, WfFlow *flow, WbHandle handle, WfInput *input)
+{
+  gboolean restart = FALSE;
+
+  switch ((WfFlowState) flow->state)
+    {
+    case WF_FLOW_HELD:
+      restart = is_new_connection (flow, input);
+      if (!restart)
+        wf_turn_from_client (agent, flow, handle, input);
+      break;
+    case WF_FLOW_PLACING:
+    case WF_FLOW_WAITING:
+      to_waiting (agent, flow, handle, input);
+      break;
+    case WF_FLOW_REFUSING:
+      restart = !wf_refuse_from_client (agent, flow, handle, input);
+      break;
+    case WF_FLOW_PROBING:
+      restart = is_initial (input);
+      if (!restart && input->status == WW_PACKET_OK)
+        (void) wf_flow_queue (agent, flow, input->data, input->length);
+      break;
+    case WF_FLOW_TOMBSTONE:
+      along_tombstone (agent, flow, handle, input);
+      break;
+    case WF_FLOW_ABSENT:
+    default:
+      restart = is_initial (input) || input->header.kind == WW_ENCAP_TO_HOLDER ||
+                registered_holder (agent, input) != 0;
+      if (!restart)
+        wf_route_chain (agent, input, TRUE);
+      break;
+    }
+  if (!restart)
+    return;
+  wf_flow_remove (agent, handle);
+  wf_route_unknown (agent, input);
+}
+
+void
+wf_route_receive (WfAgent *agent, const guint8 *data, gsize length)
+{
+  WfInput input;
+  WbHandle handle;
+  WfFlow *flow;
+
+  wf_count (agent, WF_COUNTER_RECEIVED);
+  if (!ww_encap_parse (data, length, &input.header, &input.data, &input.length))
+    {
+      wf_count (agent, WF_COUNTER_MALFORMED);
+      return;
+    }
+  input.status = ww_packet_parse (input.data, input.length, &input.packet);
+  if (input.length > WW_PACKET_MAX ||
+      (input.status != WW_PACKET_OK && input.status != WW_PACKET_ICMP_ERROR))
+    {
+      wf_count (agent, WF_COUNTER_MALFORMED);
+      return;
+    }
+  input.key = ww_packet_key_from_client (&input.packet);
+  if ((input.header.service_id != agent->service_id &&
+       wf_enabled (agent, WF_DISABLE_SERVICE_CHECK)) ||
+      !wf_route_in_service (agent, &input.key))
+    {
+      wf_count (agent, WF_COUNTER_R2_WRONG_SERVICE);
+      return;
+    }
+  input.header.hops = MIN (input.header.hops, WW_MAX_HOPS);
+  flow = wf_table_find (agent->flows, &input.key, &handle);
+  if (flow != NULL)
+    to_known (agent, flow, handle, &input);
+  else
+    wf_route_unknown (agent, &input);
+}
