Keep the control budget from causing false suspicions

Cause: in a fleet of 13 processes a killed and restarted agent led to members that were suspected and declared dead by turns for 10 s. Urgent pushes of state changes drew on the same budget class as pings and acks, a ping that the own budget dropped counted as a failed probe, and a probe sent to the old incarnation suspected the new one.

A probe keeps the target's incarnation and counts only against that one.

Ruled out: a larger budget, because 2 KB/s is the limit.

Conclusion: the load of a state change no longer reaches the probes.

--- a/member/wm-gossip.c
+++ b/member/wm-gossip.c
@@ -275,7 +275,7 @@
     }
   g_array_set_size (node->push, 0);
   if (gossip.items.items_len > 0 && (urgent || wm_send_item_allowance (node) > 256))
-    send_to_random (node, urgent ? WM_CLASS_DETECTION : WM_CLASS_REST, &gossip);
+    send_to_random (node, urgent ? WM_CLASS_CONFIG : WM_CLASS_REST, &gossip);
 }
 
 static void
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -90,6 +90,7 @@
   WmProbeKind kind;
   guint32 xid;
   guint64 target_id;
+  guint64 incarnation; /* of the target when the probe was sent */
   gint64 due_us;
   guint32 origin_xid; /* for WM_PROBE_RELAY */
   guint32 origin_address;
@@ -309,12 +310,13 @@
 /* wm-send.c */
 void wm_send_init (WmNode *node);
 void wm_send_clear (WmNode *node);
-void wm_send (WmNode *node,
-              WmClass class,
-              const WmContact *to,
-              const WwCall *call,
-              gpointer encoder,
-              gpointer body);
+/* Return: FALSE when the message was dropped because the budget is used up */
+gboolean wm_send (WmNode *node,
+                  WmClass class,
+                  const WmContact *to,
+                  const WwCall *call,
+                  gpointer encoder,
+                  gpointer body);
 void wm_send_tick (WmNode *node);
 gint64 wm_send_next_us (const WmNode *node);
 gsize wm_send_item_allowance (WmNode *node);
--- a/member/wm-probe.c
+++ b/member/wm-probe.c
@@ -24,7 +24,7 @@
   return probe_at (node, node->probes->len - 1);
 }
 
-static void
+static gboolean
 send_ping (WmNode *node, const WmContact *to, guint64 target_id, guint32 xid)
 {
   ww_gossip_item items[WW_MAX_GOSSIP_ITEMS];
@@ -32,19 +32,23 @@
   ww_ping ping = { .target_id = target_id };
 
   wm_gossip_fill (node, &ping.gossip, items, target_id, 0);
-  wm_send (node, WM_CLASS_DETECTION, to, &call, xdr_ww_ping, &ping);
+  return wm_send (node, WM_CLASS_DETECTION, to, &call, xdr_ww_ping, &ping);
 }
 
 void
 wm_probe_member (WmNode *node, WmMember *row, WmProbeKind kind)
 {
   WmContact to = wm_contact (row);
-  const WmProbe *probe = add_probe (node, kind, row->info.id);
+  WmProbe *probe = add_probe (node, kind, row->info.id);
 
   if (probe == NULL)
     return;
-  wb_counters_add (node->counters, WM_COUNTER_PROBES, 1);
-  send_ping (node, &to, row->info.id, probe->xid);
+  probe->incarnation = row->info.incarnation;
+  /* A ping that the own budget does not allow says nothing about the member. */
+  if (send_ping (node, &to, row->info.id, probe->xid))
+    wb_counters_add (node->counters, WM_COUNTER_PROBES, 1);
+  else
+    g_array_set_size (node->probes, node->probes->len - 1);
 }
 
 /* All endpoints of the own service at once: those that failed together are found together. */
@@ -132,7 +136,8 @@
 {
   WmMember *row = wm_find (node, probe->target_id);
 
-  if (row == NULL)
+  /* A member that has restarted or refuted since the ping was sent is not suspected for it. */
+  if (row == NULL || row->info.incarnation != probe->incarnation)
     return;
   wb_counters_add (node->counters, WM_COUNTER_PROBES_FAILED, 1);
   if (wm_zone_failed (node, row))
--- a/member/wm-send.c
+++ b/member/wm-send.c
@@ -91,7 +91,7 @@
 }
 
 /* Probes and their answers are useless later, so that they are dropped; the rest may wait. */
-void
+gboolean
 wm_send (WmNode *node,
          WmClass class,
          const WmContact *to,
@@ -103,17 +103,17 @@
   WmQueued *queued;
 
   if (bytes == NULL)
-    return;
+    return FALSE;
   refill (node);
   if (g_queue_is_empty (&node->queues[class]) && affordable (node, class, bytes->len))
     {
       emit (node, to->address, to->port, bytes);
-      return;
+      return TRUE;
     }
   if (class == WM_CLASS_DETECTION || node->queues[class].length >= QUEUE_LENGTH)
     {
       wb_counters_add (node->counters, WM_COUNTER_OVER_BUDGET, 1);
-      return;
+      return FALSE;
     }
   queued = g_new0 (WmQueued, 1);
   queued->bytes = g_steal_pointer (&bytes);
@@ -121,6 +121,7 @@
   queued->port = to->port;
   queued->until_us = node->now_us + QUEUE_AGE_US;
   g_queue_push_tail (&node->queues[class], queued);
+  return TRUE;
 }
 
 void
