--- a/daemon/wd-node.c
+++ b/daemon/wd-node.c
@@ -338,6 +338,8 @@
 
   if (call->procedure == WW_PROC_STATUS)
     return status_reply (node, call->xid);
+  if (call->procedure == WW_PROC_LIST)
+    return wd_reply_list (node->reply, call->xid, body, length, node->member);
   text = metrics_text (node);
   result = wd_reply_metrics (node->reply, call->xid, body, length, text);
   g_string_free (text, TRUE);
--- a/daemon/wd-reply.h
+++ b/daemon/wd-reply.h
@@ -13,8 +13,7 @@
 WdReply *wd_reply_new (void);
 void wd_reply_free (WdReply *reply);
 
-/** wd_reply_procedure() - whether the procedure is one of the operator calls; membership answers
- * that for the list of members */
+/** wd_reply_procedure() - whether the procedure is one of the operator calls */
 gboolean wd_reply_procedure (ww_procedure procedure);
 
 /** wd_reply_status() - (transfer full): the encoded reply */
@@ -27,4 +26,8 @@
 GByteArray *wd_reply_metrics (
     WdReply *reply, guint32 xid, const guint8 *body, gsize length, const GString *text);
 
+/** wd_reply_list() - (transfer full): the encoded reply, or NULL for a malformed call */
+GByteArray *
+wd_reply_list (WdReply *reply, guint32 xid, const guint8 *body, gsize length, const WmNode *node);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (WdReply, wd_reply_free)
--- a/standins/node-main.c
+++ b/standins/node-main.c
@@ -21,7 +21,7 @@
 static WwSocket *second_socket;
 
 static void
-fill_members (const ww_members_request *request, ww_members_reply *reply)
+fill_members (const ww_list_request *request, ww_list_reply *reply)
 {
   guint i;
 
@@ -68,19 +68,19 @@
                              .flows_held = node->draining ? 3 : 0,
                              .draining = (guint) node->draining,
                              .refusals = node->draining ? 5 : 0 };
-  ww_members_request members_request = { 0 };
+  ww_list_request members_request = { 0 };
   ww_metrics_request metrics_request = { 0 };
-  ww_members_reply members = { 0 };
+  ww_list_reply members = { 0 };
   ww_metrics_reply metrics = { 0 };
   GByteArray *reply;
 
   if (call->procedure == WW_PROC_STATUS)
     return ww_call_encode (&header, (xdrproc_t) xdr_ww_status_reply, &status, NULL);
-  if (call->procedure == WW_PROC_MEMBERS &&
-      ww_body_decode (body, length, (xdrproc_t) xdr_ww_members_request, &members_request, NULL))
+  if (call->procedure == WW_PROC_LIST &&
+      ww_body_decode (body, length, (xdrproc_t) xdr_ww_list_request, &members_request, NULL))
     {
       fill_members (&members_request, &members);
-      reply = ww_call_encode (&header, (xdrproc_t) xdr_ww_members_reply, &members, NULL);
+      reply = ww_call_encode (&header, (xdrproc_t) xdr_ww_list_reply, &members, NULL);
       g_free (members.members.members_val);
       return reply;
     }
--- /dev/null
+++ b/waxwinghitch-agent/agt-daemon.c
@@ -0,0 +1,272 @@
+#include "agt.h"
+
+#include "wb-log.h"
+#include "wf.h"
+
+/* Balancers that have not learned of the departure yet still send packets here, which are forwarded
+ * to the other endpoints. */
+#define LEAVE_LINGER_US (3 * WB_US_PER_S)
+
+struct AgtDaemon
+{
+  WdNode *node;
+  WfAgent *agent;
+  WwPktio *network;
+  WwPktio *server;
+  guint64 id;
+  guint64 service_id;
+  guint64 host_id;
+  GHashTable *addresses; /* endpoint id to WcAddress */
+  gint64 stop_limit_us;
+  gboolean host_drains; /* the configuration drains the host */
+  gboolean draining;
+  gboolean stopping;
+  gint64 stop_until_us; /* flows are cut off then */
+  gint64 quit_us;
+};
+
+static void
+to_server (gpointer context, const guint8 *packet, gsize length)
+{
+  AgtDaemon *daemon = context;
+
+  ww_pktio_send (daemon->server, packet, length);
+}
+
+static void
+to_client (gpointer context, const guint8 *packet, gsize length)
+{
+  AgtDaemon *daemon = context;
+
+  ww_pktio_send (daemon->network, packet, length);
+}
+
+static void
+to_endpoint (gpointer context, guint64 endpoint_id, const guint8 *data, gsize length)
+{
+  AgtDaemon *daemon = context;
+  const WcAddress *address = g_hash_table_lookup (daemon->addresses, &endpoint_id);
+
+  if (address != NULL)
+    wd_node_send_data (daemon->node, address->address, address->port, data, length);
+}
+
+static void
+from_server (gpointer context, const guint8 *packet, gsize length)
+{
+  AgtDaemon *daemon = context;
+
+  wf_agent_from_server (daemon->agent, packet, length, g_get_monotonic_time ());
+}
+
+/* The network side of an agent only sends; packets of clients come through balancers. */
+static void
+from_network (gpointer context, const guint8 *packet, gsize length)
+{
+}
+
+static void
+data_received (gpointer context, const guint8 *data, gsize length, gint64 now_us)
+{
+  AgtDaemon *daemon = context;
+
+  wf_agent_receive (daemon->agent, data, length, now_us);
+}
+
+static void
+add_address (AgtDaemon *daemon, const ww_member *member)
+{
+  WcAddress *address = g_new0 (WcAddress, 1);
+
+  address->address = member->address;
+  address->port = wm_member_data_port (member);
+  g_hash_table_insert (daemon->addresses, g_memdup2 (&member->id, sizeof member->id), address);
+}
+
+static void
+members_changed (gpointer context, gint64 now_us)
+{
+  AgtDaemon *daemon = context;
+  WmNode *member_node = wd_node_member (daemon->node);
+  g_autoptr (GArray) members = wm_node_endpoints (member_node, daemon->service_id);
+  g_autoptr (GArray) endpoints = g_array_new (FALSE, FALSE, sizeof (WfEndpoint));
+  guint i;
+
+  g_hash_table_remove_all (daemon->addresses);
+  for (i = 0; i < members->len; i++)
+    {
+      const ww_member *member = &g_array_index (members, ww_member, i);
+      WfEndpoint endpoint = { .id = member->id,
+                              .incarnation = member->incarnation,
+                              .draining = (member->flags & WM_MEMBER_DRAINING) != 0,
+                              .suspected = member->state == WW_MEMBER_SUSPECT ||
+                                           wm_node_zone_lost (member_node, member->zone) };
+
+      g_array_append_val (endpoints, endpoint);
+      add_address (daemon, member);
+    }
+  wf_agent_set_endpoints (daemon->agent, (const WfEndpoint *) (gpointer) endpoints->data,
+                          endpoints->len, now_us);
+}
+
+static void
+update_draining (AgtDaemon *daemon, gint64 now_us)
+{
+  gboolean draining = daemon->host_drains || daemon->stopping;
+
+  if (draining == daemon->draining)
+    return;
+  daemon->draining = draining;
+  wb_log_state ("draining_changed", "draining=%d flows=%u", draining,
+                wf_agent_flows_held (daemon->agent));
+  wm_node_set_draining (wd_node_member (daemon->node), draining, now_us);
+  wf_agent_set_draining (daemon->agent, draining, now_us);
+}
+
+static void
+config_changed (gpointer context, WcConfig *config, gint64 now_us)
+{
+  AgtDaemon *daemon = context;
+
+  wf_agent_set_config (daemon->agent, config, now_us);
+  daemon->host_drains = wc_config_host_drains (config, daemon->host_id);
+  update_draining (daemon, now_us);
+}
+
+/* An agent that was told to stop leaves when its flows have ended. It stays a member until then,
+ * because packets of its flows reach it through the others. */
+static void
+check_stop (AgtDaemon *daemon, gint64 now_us)
+{
+  guint flows = wf_agent_flows_held (daemon->agent);
+
+  if (!daemon->stopping || daemon->quit_us != WB_NEVER)
+    return;
+  if (flows > 0 && now_us < daemon->stop_until_us)
+    return;
+  wb_log_state ("leaving", "flows=%u", flows);
+  wm_node_leave (wd_node_member (daemon->node), now_us);
+  daemon->quit_us = now_us + LEAVE_LINGER_US;
+}
+
+static void
+tick (gpointer context, gint64 now_us)
+{
+  AgtDaemon *daemon = context;
+
+  wf_agent_tick (daemon->agent, now_us);
+  check_stop (daemon, now_us);
+  if (daemon->quit_us <= now_us)
+    wd_node_quit (daemon->node);
+}
+
+static gint64
+next_us (gpointer context)
+{
+  AgtDaemon *daemon = context;
+
+  return MIN (wf_agent_next_us (daemon->agent), daemon->quit_us);
+}
+
+static void
+resumed (gpointer context, gint64 now_us)
+{
+  AgtDaemon *daemon = context;
+
+  wf_agent_resumed (daemon->agent, now_us);
+}
+
+static void
+stop (gpointer context, gint64 now_us)
+{
+  AgtDaemon *daemon = context;
+
+  daemon->stopping = TRUE;
+  daemon->stop_until_us = now_us + daemon->stop_limit_us;
+  update_draining (daemon, now_us);
+}
+
+static void
+fill_status (gpointer context, ww_status_reply *status)
+{
+  AgtDaemon *daemon = context;
+  const WbCounters *counters = wf_agent_counters (daemon->agent);
+
+  status->flows_held = wf_agent_flows_held (daemon->agent);
+  status->flows_waiting = wf_agent_flows_waiting (daemon->agent);
+  status->draining = daemon->draining;
+  status->refusals = wb_counters_get_by_name (counters, "flow_r3_refused_initial") +
+                     wb_counters_get_by_name (counters, "flow_r3_refused_request");
+}
+
+static void
+append_metrics (gpointer context, GString *text)
+{
+  AgtDaemon *daemon = context;
+
+  wb_counters_append_text (wf_agent_counters (daemon->agent), text);
+  wb_counters_append_text (wa_admission_counters (wf_agent_admission (daemon->agent)), text);
+}
+
+static gboolean
+open_node (AgtDaemon *daemon, const WcSettings *settings, GError **error)
+{
+  WdCallbacks callbacks = { .context = daemon,
+                            .data_received = data_received,
+                            .members_changed = members_changed,
+                            .config_changed = config_changed,
+                            .tick = tick,
+                            .next_us = next_us,
+                            .resumed = resumed,
+                            .stop = stop,
+                            .fill_status = fill_status,
+                            .append_metrics = append_metrics };
+
+  daemon->node = wd_node_new (settings, WW_ROLE_AGENT, &callbacks, error);
+  return daemon->node != NULL;
+}
+
+AgtDaemon *
+agt_daemon_new (const WcSettings *settings, GError **error)
+{
+  AgtDaemon *daemon = g_new0 (AgtDaemon, 1);
+  WfCallbacks output = {
+    .context = daemon, .to_server = to_server, .to_client = to_client, .to_endpoint = to_endpoint
+  };
+
+  daemon->id = wb_name_id (settings->name);
+  daemon->service_id = wb_name_id (settings->service);
+  daemon->host_id = wb_name_id (settings->host);
+  daemon->stop_limit_us = settings->stop_limit_us;
+  daemon->quit_us = WB_NEVER;
+  daemon->addresses = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  daemon->agent = wf_agent_new (daemon->id, daemon->service_id, &output, g_random_int (),
+                                g_get_monotonic_time ());
+  if (open_node (daemon, settings, error))
+    {
+      daemon->server = wd_pktio_new (&settings->server, from_server, daemon, error);
+      if (daemon->server != NULL)
+        daemon->network = wd_pktio_new (&settings->network, from_network, daemon, error);
+    }
+  if (daemon->network != NULL)
+    return daemon;
+  agt_daemon_free (daemon);
+  return NULL;
+}
+
+void
+agt_daemon_free (AgtDaemon *daemon)
+{
+  ww_pktio_free (daemon->network);
+  ww_pktio_free (daemon->server);
+  wd_node_free (daemon->node);
+  wf_agent_free (daemon->agent);
+  g_hash_table_unref (daemon->addresses);
+  g_free (daemon);
+}
+
+void
+agt_daemon_run (AgtDaemon *daemon)
+{
+  wd_node_run (daemon->node);
+}
--- /dev/null
+++ b/waxwinghitch-agent/agt.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "wd.h"
+
+/**
+ * struct AgtDaemon - the process beside one backend server
+ */
+typedef struct AgtDaemon AgtDaemon;
+
+/**
+ * agt_daemon_new() - opens the sockets and joins
+ * @error: as wd_node_new() and wd_pktio_new()
+ */
+AgtDaemon *agt_daemon_new (const WcSettings *settings, GError **error);
+void agt_daemon_free (AgtDaemon *daemon);
+
+/** agt_daemon_run() - runs until a planned stop is complete */
+void agt_daemon_run (AgtDaemon *daemon);
--- /dev/null
+++ b/waxwinghitch/bal-daemon.c
@@ -0,0 +1,206 @@
+#include "cmd.h"
+
+#include "wb-log.h"
+#include "wd.h"
+#include "wl.h"
+
+#include <argp.h>
+#include <stdio.h>
+
+/* Packets that are in transit through a balancer when it leaves are still forwarded. */
+#define LEAVE_LINGER_US (2 * WB_US_PER_S)
+
+typedef struct
+{
+  WdNode *node;
+  WlBalancer *balancer;
+  WwPktio *network;
+  gint64 quit_us;
+} Daemon;
+
+static void
+to_agent (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length)
+{
+  Daemon *daemon = context;
+
+  wd_node_send_data (daemon->node, address, port, data, length);
+}
+
+static void
+packet_received (gpointer context, const guint8 *packet, gsize length)
+{
+  Daemon *daemon = context;
+
+  wl_balancer_packet (daemon->balancer, packet, length);
+}
+
+static void
+add_endpoint (GArray *endpoints, const WmNode *member_node, const ww_member *member)
+{
+  WlEndpoint endpoint = { .id = member->id,
+                          .service_id = member->service_id,
+                          .address = member->address,
+                          .data_port = wm_member_data_port (member),
+                          .lost = member->state == WW_MEMBER_DEAD ||
+                                  wm_node_zone_lost (member_node, member->zone) };
+
+  if (member->role == WW_ROLE_AGENT)
+    g_array_append_val (endpoints, endpoint);
+}
+
+static void
+members_changed (gpointer context, gint64 now_us)
+{
+  Daemon *daemon = context;
+  WmNode *member_node = wd_node_member (daemon->node);
+  g_autoptr (GArray) members = wm_node_members (member_node);
+  g_autoptr (GArray) endpoints = g_array_new (FALSE, FALSE, sizeof (WlEndpoint));
+  guint i;
+
+  for (i = 0; i < members->len; i++)
+    add_endpoint (endpoints, member_node, &g_array_index (members, ww_member, i));
+  wl_balancer_set_endpoints (daemon->balancer, (const WlEndpoint *) (gpointer) endpoints->data,
+                             endpoints->len);
+}
+
+static void
+config_changed (gpointer context, WcConfig *config, gint64 now_us)
+{
+  Daemon *daemon = context;
+
+  wl_balancer_set_config (daemon->balancer, config);
+}
+
+static void
+tick (gpointer context, gint64 now_us)
+{
+  Daemon *daemon = context;
+
+  if (daemon->quit_us <= now_us)
+    wd_node_quit (daemon->node);
+}
+
+static gint64
+next_us (gpointer context)
+{
+  Daemon *daemon = context;
+
+  return daemon->quit_us;
+}
+
+static void
+resumed (gpointer context, gint64 now_us)
+{
+}
+
+static void
+stop (gpointer context, gint64 now_us)
+{
+  Daemon *daemon = context;
+
+  wm_node_leave (wd_node_member (daemon->node), now_us);
+  daemon->quit_us = now_us + LEAVE_LINGER_US;
+}
+
+static void
+fill_status (gpointer context, ww_status_reply *status)
+{
+}
+
+static void
+append_metrics (gpointer context, GString *text)
+{
+  Daemon *daemon = context;
+
+  wb_counters_append_text (wl_balancer_counters (daemon->balancer), text);
+}
+
+static gboolean
+daemon_open (Daemon *daemon, const WcSettings *settings, GError **error)
+{
+  WlCallbacks output = { .context = daemon, .to_agent = to_agent };
+  WdCallbacks callbacks = { .context = daemon,
+                            .members_changed = members_changed,
+                            .config_changed = config_changed,
+                            .tick = tick,
+                            .next_us = next_us,
+                            .resumed = resumed,
+                            .stop = stop,
+                            .fill_status = fill_status,
+                            .append_metrics = append_metrics };
+
+  daemon->quit_us = WB_NEVER;
+  daemon->balancer = wl_balancer_new (wb_name_id (settings->name), &output);
+  daemon->node = wd_node_new (settings, WW_ROLE_BALANCER, &callbacks, error);
+  if (daemon->node == NULL)
+    return FALSE;
+  daemon->network = wd_pktio_new (&settings->network, packet_received, daemon, error);
+  return daemon->network != NULL;
+}
+
+static void
+daemon_close (Daemon *daemon)
+{
+  ww_pktio_free (daemon->network);
+  wd_node_free (daemon->node);
+  wl_balancer_free (daemon->balancer);
+}
+
+static gint
+run (const gchar *path)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (WcSettings) settings = wc_settings_load (path, WW_ROLE_BALANCER, &error);
+  Daemon daemon = { 0 };
+  gint result = CMD_EXIT_FAILED;
+
+  if (settings == NULL)
+    {
+      fprintf (stderr, "waxwinghitch balancer: %s\n", error->message);
+      return CMD_EXIT_INVALID;
+    }
+  wb_log_init ("waxwinghitch.balancer");
+  if (daemon_open (&daemon, settings, &error))
+    {
+      wd_node_run (daemon.node);
+      result = CMD_EXIT_OK;
+    }
+  else
+    fprintf (stderr, "waxwinghitch balancer: %s\n", error->message);
+  daemon_close (&daemon);
+  wb_log_fini ();
+  return result;
+}
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  const gchar **path = state->input;
+
+  if (key == 's')
+    *path = argument;
+  else if (key == ARGP_KEY_ARG)
+    argp_error (state, "unexpected argument \"%s\"", argument);
+  else if (key == ARGP_KEY_END && *path == NULL)
+    argp_error (state, "--settings is required");
+  else
+    return ARGP_ERR_UNKNOWN;
+  return 0;
+}
+
+int
+bal_command (int argc, char **argv)
+{
+  const struct argp_option options[] = {
+    { "settings", 's', "FILE", 0, "Settings of this process (TOML)", 0 }, { 0 }
+  };
+  const struct argp argp = { .options = options,
+                             .parser = parse_option,
+                             .doc = "Runs a balancer until SIGTERM or SIGINT." };
+  const gchar *path = NULL;
+
+  argp_err_exit_status = CMD_EXIT_USAGE;
+  if (argp_parse (&argp, argc, argv, 0, NULL, &path) != 0)
+    return CMD_EXIT_USAGE;
+  return run (path);
+}
--- a/waxwinghitch/cmd-status.c
+++ b/waxwinghitch/cmd-status.c
@@ -88,7 +88,7 @@
 
 /* The list may change between two pages, so a member can come twice. */
 static void
-add_members (Status *self, const ww_members_reply *reply)
+add_members (Status *self, const ww_list_reply *reply)
 {
   guint i;
 
@@ -127,16 +127,16 @@
 members_answered (gpointer context, const guint8 *body, gsize length)
 {
   Status *self = context;
-  ww_members_reply reply = { 0 };
+  ww_list_reply reply = { 0 };
   gboolean valid = FALSE;
 
-  if (body != NULL && ww_body_decode (body, length, (xdrproc_t) xdr_ww_members_reply, &reply, NULL))
+  if (body != NULL && ww_body_decode (body, length, (xdrproc_t) xdr_ww_list_reply, &reply, NULL))
     {
       valid = reply.offset == self->offset && ++self->pages <= MAX_PAGES &&
               (reply.members.members_len > 0 || reply.total <= self->offset);
       if (valid)
         add_members (self, &reply);
-      ww_body_clear ((xdrproc_t) xdr_ww_members_reply, &reply);
+      ww_body_clear ((xdrproc_t) xdr_ww_list_reply, &reply);
     }
   if (!valid)
     g_main_loop_quit (self->loop);
@@ -152,10 +152,10 @@
 static void
 request_members (Status *self)
 {
-  ww_members_request request = { .offset = self->offset };
+  ww_list_request request = { .offset = self->offset };
 
-  cmd_rpc_call (self->rpc, self->options->address, self->options->port, WW_PROC_MEMBERS,
-                (xdrproc_t) xdr_ww_members_request, &request, members_answered, self);
+  cmd_rpc_call (self->rpc, self->options->address, self->options->port, WW_PROC_LIST,
+                (xdrproc_t) xdr_ww_list_request, &request, members_answered, self);
 }
 
 static const gchar *
--- a/wire/ww-proto.h
+++ b/wire/ww-proto.h
@@ -324,6 +324,21 @@
 };
 typedef struct ww_members_reply ww_members_reply;
 
+struct ww_list_request {
+	u_int offset;
+};
+typedef struct ww_list_request ww_list_request;
+
+struct ww_list_reply {
+	u_int offset;
+	u_int total;
+	struct {
+		u_int members_len;
+		ww_member *members_val;
+	} members;
+};
+typedef struct ww_list_reply ww_list_reply;
+
 enum ww_procedure {
 	WW_PROC_NULL = 0,
 	WW_PROC_PING = 1,
@@ -334,6 +349,7 @@
 	WW_PROC_METRICS = 6,
 	WW_PROC_MEMBERS = 7,
 	WW_PROC_JOIN = 8,
+	WW_PROC_LIST = 9,
 };
 typedef enum ww_procedure ww_procedure;
 
@@ -374,6 +390,8 @@
 extern  bool_t xdr_ww_join (XDR *, ww_join*);
 extern  bool_t xdr_ww_members_request (XDR *, ww_members_request*);
 extern  bool_t xdr_ww_members_reply (XDR *, ww_members_reply*);
+extern  bool_t xdr_ww_list_request (XDR *, ww_list_request*);
+extern  bool_t xdr_ww_list_reply (XDR *, ww_list_reply*);
 extern  bool_t xdr_ww_procedure (XDR *, ww_procedure*);
 
 #else /* K&R C */
@@ -411,6 +429,8 @@
 extern bool_t xdr_ww_join ();
 extern bool_t xdr_ww_members_request ();
 extern bool_t xdr_ww_members_reply ();
+extern bool_t xdr_ww_list_request ();
+extern bool_t xdr_ww_list_reply ();
 extern bool_t xdr_ww_procedure ();
 
 #endif /* K&R C */
--- a/wire/ww-proto.x
+++ b/wire/ww-proto.x
@@ -288,6 +288,17 @@
   ww_member members<WW_MAX_MEMBERS>;
 };
 
+/* For operator commands: the members that a node knows, read in pages. */
+struct ww_list_request {
+  unsigned offset;
+};
+
+struct ww_list_reply {
+  unsigned offset;
+  unsigned total;
+  ww_member members<WW_MAX_MEMBERS>;
+};
+
 enum ww_procedure {
   WW_PROC_NULL = 0,
   WW_PROC_PING = 1,
@@ -297,5 +308,6 @@
   WW_PROC_STATUS = 5,
   WW_PROC_METRICS = 6,
   WW_PROC_MEMBERS = 7,
-  WW_PROC_JOIN = 8
+  WW_PROC_JOIN = 8,
+  WW_PROC_LIST = 9
 };
--- a/wire/ww-proto_xdr.c
+++ b/wire/ww-proto_xdr.c
@@ -850,6 +850,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ww_list_request (XDR *xdrs, ww_list_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ww_list_reply (XDR *xdrs, ww_list_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, WW_MAX_MEMBERS,
+		sizeof (ww_member), (xdrproc_t) xdr_ww_member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ww_procedure (XDR *xdrs, ww_procedure *objp)
 {
