Compare service times by the mean of their logarithm

Cause: with mixed classes the mean service time is decided by a few stragglers, so healthy endpoints counted as slow from time to time.

Change: the comparison uses the mean of the logarithm, in steps of 1/64 of a factor of 2, over 64 requests.

--- a/admission/wa-evidence.c
+++ b/admission/wa-evidence.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "wa-private.h"
 
 /* Initial packets in a row that the server left unanswered before it counts as not answering. One
@@ -17,20 +19,21 @@
 #define DISTRUST_MIN_US (10 * WB_US_PER_S)
 #define DISTRUST_MAX_US (300 * WB_US_PER_S)
 
-/* Flags of an occupancy carry the mean service time: class in bits 30 and 31, milliseconds in bits
- * 16 to 29. */
+/* Flags of an occupancy carry the typical service time: class in bits 30 and 31, its logarithm in
+ * bits 16 to 29, 64 steps for a factor of 2. */
 #define SERVICE_SHIFT 16
-#define SERVICE_MS_MAX 0x3fff
+#define SERVICE_MASK 0x3fff
 #define SERVICE_CLASS_SHIFT 30
+#define SERVICE_STEPS 64
 
-/* Requests measured before the mean is reported, and peers needed for a comparison. */
-#define SERVICE_SAMPLES_MIN 16
+/* Requests measured before the time is reported, and peers needed for a comparison. */
+#define SERVICE_SAMPLES_MIN 32
 #define SERVICE_PEERS_MIN 2
 #define SERVICE_REPORT_AGE_US (10 * WB_US_PER_S)
-#define SERVICE_SAMPLE_SHARE 16
+#define SERVICE_SAMPLE_SHARE 64
 
-/* Below this factor the difference to the peers can be chance. */
-#define SLOW_FACTOR 2.0
+/* Twice the time of the peers; below that the difference can be chance. */
+#define SLOW_STEPS SERVICE_STEPS
 
 void
 wa_evidence_answered (WaAdmission *admission)
@@ -56,14 +59,15 @@
   return admission->unanswered > 0 && now_us < admission->not_answering_until_us;
 }
 
+/* The mean of the logarithm, because a mean of the time itself is decided by a few stragglers. */
 void
 wa_evidence_service (WaAdmission *admission, WcClass class, gint64 service_us)
 {
   WaService *service = &admission->service[class];
+  gdouble steps = SERVICE_STEPS * log2 ((gdouble) MAX (1, service_us));
+  guint share = (guint) MIN (++service->samples, SERVICE_SAMPLE_SHARE);
 
-  if (service->samples++ == 0)
-    service->mean_us = service_us;
-  service->mean_us += (service_us - service->mean_us) / SERVICE_SAMPLE_SHARE;
+  service->mean_steps += (steps - service->mean_steps) / share;
 }
 
 /* The class to compare by: short requests vary least. */
@@ -86,12 +90,12 @@
 wa_evidence_flags (const WaAdmission *admission)
 {
   WcClass class;
-  gint64 mean_ms;
+  guint32 steps;
 
   if (!reference_class (admission, &class))
     return 0;
-  mean_ms = MIN (admission->service[class].mean_us / WB_US_PER_MS, SERVICE_MS_MAX);
-  return ((guint32) class << SERVICE_CLASS_SHIFT) | ((guint32) mean_ms << SERVICE_SHIFT);
+  steps = (guint32) admission->service[class].mean_steps & SERVICE_MASK;
+  return ((guint32) class << SERVICE_CLASS_SHIFT) | (steps << SERVICE_SHIFT);
 }
 
 static gint
@@ -100,7 +104,7 @@
   return *(const gint *) a - *(const gint *) b;
 }
 
-/* Median of the mean service times that peers reported for @class, or 0. */
+/* Median of the service times that peers reported for @class, in steps, or 0. */
 static gint
 median_of_peers (const WaAdmission *admission, WcClass class, gint64 now_us)
 {
@@ -110,12 +114,12 @@
   for (i = 0; i < admission->peers->len; i++)
     {
       const WaPeer *peer = g_ptr_array_index (admission->peers, i);
-      gint mean_ms = (gint) (peer->report.flags >> SERVICE_SHIFT) & SERVICE_MS_MAX;
+      gint steps = (gint) (peer->report.flags >> SERVICE_SHIFT) & SERVICE_MASK;
 
       if (peer->reported_us == 0 || now_us - peer->reported_us > SERVICE_REPORT_AGE_US ||
-          mean_ms == 0 || peer->report.flags >> SERVICE_CLASS_SHIFT != class)
+          steps == 0 || peer->report.flags >> SERVICE_CLASS_SHIFT != class)
         continue;
-      g_array_append_val (means, mean_ms);
+      g_array_append_val (means, steps);
     }
   if (means->len < SERVICE_PEERS_MIN)
     return 0;
@@ -128,13 +132,12 @@
 wa_evidence_is_slow (const WaAdmission *admission, gint64 now_us)
 {
   WcClass class;
-  gint median_ms;
+  gint median;
 
   if (!reference_class (admission, &class))
     return FALSE;
-  median_ms = median_of_peers (admission, class, now_us);
-  return median_ms > 0 &&
-         (gdouble) admission->service[class].mean_us >= SLOW_FACTOR * median_ms * WB_US_PER_MS;
+  median = median_of_peers (admission, class, now_us);
+  return median > 0 && admission->service[class].mean_steps >= median + SLOW_STEPS;
 }
 
 static void
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -85,7 +85,7 @@
 typedef struct
 {
   guint64 samples;
-  gint64 mean_us;
+  gdouble mean_steps; /* of the logarithm: see wa-evidence.c */
 } WaService;
 
 typedef struct
