Add the overload bench

Cause: nothing measured goodput, refusals, short work beside saturating long work, fairness between tenants, or late first payloads.

Change: bench-overload; the fake now runs on until requests in progress have ended, so that their work inside the measured time counts.

--- a/admission/wa-evidence.c
+++ b/admission/wa-evidence.c
@@ -65,8 +65,10 @@
 {
   WaService *service = &admission->service[class];
   gdouble steps = SERVICE_STEPS * log2 ((gdouble) MAX (1, service_us));
-  guint share = (guint) MIN (++service->samples, SERVICE_SAMPLE_SHARE);
+  guint share;
 
+  service->samples++;
+  share = (guint) MIN (service->samples, SERVICE_SAMPLE_SHARE);
   service->mean_steps += (steps - service->mean_steps) / share;
 }
 
--- a/bench/admission-fake.c
+++ b/bench/admission-fake.c
@@ -8,6 +8,10 @@
 #define PROBE_INTERVAL_US (5 * WB_US_PER_MS)
 #define COLD_US (10 * WB_US_PER_S)
 
+/* Time after the last arrival for requests in progress to end; the longest takes 15 s, or 45 s at a
+ * slow endpoint. */
+#define TAIL_US (50 * WB_US_PER_S)
+
 /* A client sends one packet for each 20 ms of a response and a few for opening and closing. */
 #define PACKET_INTERVAL_US (20 * WB_US_PER_MS)
 #define PACKETS_PER_FLOW 4
@@ -51,6 +55,7 @@
   FlowState state;
   guint home;
   guint endpoint;
+  gboolean late;     /* started after the deadline */
   gint64 arrival_us; /* at the home, of the packet that is placed */
   gint64 decided_us; /* when the predicted wait first exceeded the deadline */
   gint64 client_us;  /* time that the client itself took between arrival and payload */
@@ -201,6 +206,7 @@
   gint64 service_us = service_time (fake, flow->endpoint, job);
 
   flow->state = FLOW_RUNNING;
+  flow->late = wait_us > fake->options->deadline_us;
   endpoint->running++;
   g_assert (endpoint->running <= fake->options->slots);
   if (is_measured (fake, job))
@@ -227,7 +233,7 @@
 
   if (is_measured (fake, job))
     fake->result->completed[description->class]++;
-  if (work_us <= 0)
+  if (work_us <= 0 || fake->flows[job].late)
     return;
   fake->result->work_us += work_us;
   fake->result->tenant_work_us[description->tenant] += work_us;
@@ -408,7 +414,10 @@
   Flow *flow = &fake->flows[job];
 
   if (is_measured (fake, job))
-    fake->result->flows++;
+    {
+      fake->result->flows++;
+      fake->result->offered_us += job_at (fake, job)->service_us;
+    }
   flow->arrival_us = fake->now_us;
   if (options->central)
     {
@@ -484,7 +493,7 @@
       squares += occupancy * occupancy;
       maximum = MAX (maximum, occupancy);
     }
-  if (fake->now_us >= fake->options->warmup_us)
+  if (fake->now_us >= fake->options->warmup_us && fake->now_us < fake->options->duration_us)
     {
       fake->result->sum_maximum += maximum;
       fake->result->sum_mean += sum / count;
@@ -502,16 +511,18 @@
   for (job = 0; job < fake->jobs->len; job++)
     {
       Flow *flow = &fake->flows[job];
-      gint64 predicted_us;
+      gint64 predicted_us, left_us;
 
       if (job_at (fake, job)->arrival_us > fake->now_us)
         break;
-      if (flow->state != FLOW_QUEUED || flow->decided_us != 0)
+      if (flow->state != FLOW_QUEUED)
         continue;
+      left_us = fake->options->deadline_us - (fake->now_us - flow->arrival_us);
       predicted_us = wa_admission_predicted_wait (fake->endpoints[flow->endpoint].admission,
                                                   handle_of (job), fake->now_us);
-      if (predicted_us >= 0 &&
-          fake->now_us - flow->arrival_us + predicted_us > fake->options->deadline_us)
+      if (predicted_us < 0 || predicted_us <= left_us)
+        flow->decided_us = 0;
+      else if (flow->decided_us == 0)
         flow->decided_us = fake->now_us;
     }
   schedule (fake, (Event){ .kind = EVENT_PROBE }, PROBE_INTERVAL_US);
@@ -669,7 +680,7 @@
   schedule (&fake, (Event){ .kind = EVENT_SAMPLE }, SAMPLE_INTERVAL_US);
   if (options->probe_refusals)
     schedule (&fake, (Event){ .kind = EVENT_PROBE }, PROBE_INTERVAL_US);
-  while (fake.now_us < options->duration_us)
+  while (fake.now_us < options->duration_us + TAIL_US)
     {
       Event event = pop_event (&fake);
 
--- a/bench/admission-fake.h
+++ b/bench/admission-fake.h
@@ -74,6 +74,7 @@
  * less the client's own time
  * @refusal_delay: of gint64 in microseconds, from the first time that the predicted wait exceeded
  * the deadline to the refusal
+ * @offered_us: service time of the measured jobs
  * @work_us: slot time of requests completed within the deadline, inside the duration
  */
 typedef struct
@@ -89,6 +90,7 @@
   guint64 extra_hops;
   guint64 completed[2];
   guint64 refused[2];
+  gdouble offered_us;
   gdouble work_us;
   gdouble tenant_work_us[FAKE_MAX_TENANTS];
 } FakeResult;
--- /dev/null
+++ b/bench/bench-overload-main.c
@@ -0,0 +1,228 @@
+#include <stdlib.h>
+
+#include "admission-fake.h"
+
+#define SEED 20261204
+#define RUNS 4
+#define RUN_S 60
+#define WARMUP_S 15
+#define DEADLINE_S 5
+#define SHORT_US (50 * WB_US_PER_MS)
+#define LONG_US (1 * WB_US_PER_S)
+
+static guint missed;
+
+static void
+overload_options (FakeOptions *options)
+{
+  fake_options_init (options);
+  options->deadline_us = DEADLINE_S * WB_US_PER_S;
+  options->warmup_us = WARMUP_S * WB_US_PER_S;
+  options->duration_us = RUN_S * WB_US_PER_S;
+}
+
+static const gchar *
+verdict (gboolean met)
+{
+  if (met)
+    return "met";
+  missed++;
+  return "MISSED";
+}
+
+static gdouble
+capacity_us (const FakeOptions *options)
+{
+  return (gdouble) RUNS * options->endpoints * options->slots *
+         (gdouble) (options->duration_us - options->warmup_us);
+}
+
+static gdouble
+goodput (const FakeOptions *options, const FakeResult *result)
+{
+  return result->work_us / MIN (result->offered_us, capacity_us (options));
+}
+
+static FakeResult *
+run_mixed (const FakeOptions *options, gdouble load)
+{
+  FakeResult *result = fake_result_new ();
+  FakeLoad arrivals = { .load = load };
+  guint i;
+
+  for (i = 0; i < RUNS; i++)
+    {
+      g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (FakeJob));
+      g_autoptr (GRand) random = g_rand_new_with_seed (SEED + i);
+
+      fake_jobs_mixed (jobs, options, &arrivals, random);
+      fake_jobs_sort (jobs);
+      fake_run (options, jobs, SEED + 1000 * i, result);
+    }
+  return result;
+}
+
+static void
+print_load_row (const gchar *name, const FakeOptions *options, gdouble load, FakeResult *result)
+{
+  g_print ("| %-24s | %4.1f | %6.1f%% | %6" G_GUINT64_FORMAT " | %6" G_GUINT64_FORMAT
+           " | %6" G_GUINT64_FORMAT " | %8.1f | %8.1f | %7.1f | %7.1f |\n",
+           name, load, 100 * goodput (options, result), result->completed[0] + result->completed[1],
+           result->refused[0], result->refused[1], fake_quantile (result->wait[0], 0.99),
+           fake_quantile (result->wait[1], 0.99), fake_quantile (result->refusal_delay, 0.99),
+           fake_quantile (result->refusal_delay, 1));
+}
+
+static void
+bench_load (gboolean class_known)
+{
+  static const gdouble loads[] = { 0.5, 1, 1.5, 2, 3 };
+  const gchar *name = class_known ? "class known" : "class unknown";
+  FakeOptions options;
+  guint i;
+
+  overload_options (&options);
+  options.class_known = class_known;
+  options.probe_refusals = TRUE;
+  for (i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      g_autoptr (FakeResult) result = run_mixed (&options, loads[i]);
+
+      print_load_row (name, &options, loads[i], result);
+      if (loads[i] == 2)
+        g_print (
+            "  goodput at 2 times capacity %.1f%%, at least 95%%: %s; longest time to a refusal "
+            "%.1f ms, at most 50: %s\n",
+            100 * goodput (&options, result), verdict (goodput (&options, result) >= 0.95),
+            fake_quantile (result->refusal_delay, 1),
+            verdict (fake_quantile (result->refusal_delay, 1) <= 50));
+    }
+}
+
+/* Short work with and without long work that would fill all slots twice. */
+static void
+bench_saturation (gdouble short_load)
+{
+  gdouble p99[2] = { 0 };
+  guint saturated, i;
+
+  for (saturated = 0; saturated < 2; saturated++)
+    {
+      g_autoptr (FakeResult) result = fake_result_new ();
+      FakeLoad brief = { .load = short_load };
+      FakeLoad heavy = { .load = saturated ? 2 : 0 };
+      FakeOptions options;
+
+      overload_options (&options);
+      for (i = 0; i < RUNS; i++)
+        {
+          g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (FakeJob));
+          g_autoptr (GRand) random = g_rand_new_with_seed (SEED + i);
+
+          fake_jobs_single (jobs, &options, &brief, WC_CLASS_SHORT, SHORT_US, random);
+          fake_jobs_single (jobs, &options, &heavy, WC_CLASS_LONG, LONG_US, random);
+          fake_jobs_sort (jobs);
+          fake_run (&options, jobs, SEED + 1000 * i, result);
+        }
+      p99[saturated] = fake_quantile (result->wait[0], 0.99);
+      g_print ("| %8.0f%% | %-10s | %7.2f | %7.2f | %8.2f | %5" G_GUINT64_FORMAT " |\n",
+               100 * short_load, saturated ? "saturation" : "none",
+               fake_quantile (result->wait[0], 0.5), p99[saturated],
+               fake_quantile (result->wait[0], 0.999), result->refused[0]);
+    }
+  g_print ("  p99 %.2f to %.2f ms, within 10%%: %s\n", p99[0], p99[1],
+           verdict (p99[1] <= 1.1 * p99[0]));
+}
+
+/* One tenant offers 3 times the capacity, two others a quarter of it each. */
+static void
+bench_tenants (gboolean rush, guint weight)
+{
+  g_autoptr (FakeResult) result = fake_result_new ();
+  FakeOptions options;
+  guint i, tenant;
+
+  overload_options (&options);
+  for (tenant = 0; tenant < 3; tenant++)
+    options.weights[tenant] = tenant == 1 ? weight : 1;
+  for (i = 0; i < RUNS; i++)
+    {
+      g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (FakeJob));
+      g_autoptr (GRand) random = g_rand_new_with_seed (SEED + i);
+
+      for (tenant = 1; tenant <= 3; tenant++)
+        {
+          FakeLoad load = { .load = tenant == 1 ? (rush ? 3 : 0.25) : 0.25, .tenant = tenant };
+
+          fake_jobs_mixed (jobs, &options, &load, random);
+        }
+      fake_jobs_sort (jobs);
+      fake_run (&options, jobs, SEED + 1000 * i, result);
+    }
+  g_print ("| %-10s | %6u |", rush ? "rush" : "none", weight);
+  for (tenant = 1; tenant <= 3; tenant++)
+    g_print (" %7.1f%% |", 100 * result->tenant_work_us[tenant] / capacity_us (&options));
+  g_print (" %8.1f |\n", fake_quantile (result->wait[0], 0.99));
+}
+
+static void
+bench_binding (gboolean at_payload, gint64 think_us, gdouble load)
+{
+  FakeOptions options;
+  g_autoptr (FakeResult) result = NULL;
+
+  overload_options (&options);
+  options.bind_at_payload = at_payload;
+  options.think_us = think_us;
+  result = run_mixed (&options, load);
+  g_print ("| %-14s | %6.0f | %4.1f | %6.1f%% | %8.1f | %8.1f | %8.1f | %6" G_GUINT64_FORMAT
+           " | %6" G_GUINT64_FORMAT " |\n",
+           at_payload ? "first payload" : "initial packet", (gdouble) think_us / WB_US_PER_MS, load,
+           100 * goodput (&options, result), fake_quantile (result->wait[0], 0.5),
+           fake_quantile (result->wait[0], 0.99), fake_quantile (result->wait[1], 0.99),
+           result->refused[0], result->refused[1]);
+}
+
+int
+main (void)
+{
+  static const gdouble loads[] = { 0.8, 2 };
+  guint i;
+
+  g_print ("7x4, deadline %d s, %d runs of %d s of virtual time, the first %d s not measured, seed "
+           "%d\n\n",
+           DEADLINE_S, RUNS, RUN_S, WARMUP_S, SEED);
+  g_print (
+      "Goodput: slot time of requests completed within the deadline, relative to min (offered, "
+      "capacity)\n");
+  g_print ("| variant                  | load | goodput | done   | ref.sh | ref.lg | p99 sh.  | "
+           "p99 long | p99 rd  | max rd  |\n|---|---|---|---|---|---|---|---|---|---|\n");
+  bench_load (TRUE);
+  bench_load (FALSE);
+  g_print ("\nWait of short work (ms) when long work goes from none to saturation\n");
+  g_print ("| short load | long work | p50 | p99 | p99.9 | refused |\n|---|---|---|---|---|---|\n");
+  bench_saturation (0.02);
+  bench_saturation (0.05);
+  bench_saturation (0.10);
+  bench_saturation (0.15);
+  g_print (
+      "\nShare of the capacity that each of three tenants got; tenant 1 rushes, tenants 2 and 3 "
+      "offer 25%% each\n");
+  g_print ("| tenant 1 | weight 2 | tenant 1 | tenant 2 | tenant 3 | p99 short |\n"
+           "|---|---|---|---|---|---|\n");
+  bench_tenants (FALSE, 1);
+  bench_tenants (TRUE, 1);
+  bench_tenants (TRUE, 2);
+  g_print ("\nQueueing the initial packet against binding at the first payload\n");
+  g_print ("| bound at       | think  | load | goodput | p50 sh.  | p99 sh.  | p99 long | ref.sh | "
+           "ref.lg |\n|---|---|---|---|---|---|---|---|---|\n");
+  for (i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      bench_binding (FALSE, 0, loads[i]);
+      bench_binding (TRUE, 0, loads[i]);
+      bench_binding (FALSE, 200 * WB_US_PER_MS, loads[i]);
+      bench_binding (TRUE, 200 * WB_US_PER_MS, loads[i]);
+    }
+  g_print ("\ntargets missed: %u\n", missed);
+  return 0;
+}
