Bound ageing by slots and predict it

Cause: above capacity long work always has aged entries. Every second admission is then a long one, which holds its slot for as long as 20 to 40 short ones, so short work waited for seconds. Calm tenants' long work was refused because the prediction did not know that ageing would admit it.

Change: ageing precedes the class order only while less than half the slots serve long or mixed work. The prediction of long work takes the earlier of class order and ageing, and that of short work leaves out the slots that ageing may take.

--- a/admission/wa-predict.c
+++ b/admission/wa-predict.c
@@ -24,17 +24,6 @@
   admission->short_use_us = now_us;
 }
 
-/* Slots that serve a level. Short work that has not arrived yet goes ahead of all other work, so
- * what it used lately is not counted for the rest. */
-static gdouble
-slots_of_level (const WaAdmission *admission, WaLevel level, gint64 now_us)
-{
-  gdouble usable = wa_slots_usable (admission, now_us);
-  gdouble taken = MAX (admission->reserve_short, admission->short_use);
-
-  return level == WA_LEVEL_SHORT ? usable : MAX (1, usable - taken);
-}
-
 static gint64
 work_of (const WaAdmission *admission, const guint *waiting)
 {
@@ -82,20 +71,46 @@
   return sum;
 }
 
+/* Short work shares the slots with long and mixed work that ageing lets through. */
+static gint64
+predict_short (const WaAdmission *admission, gint64 work_us, gint64 now_us)
+{
+  guint usable = wa_slots_usable (admission, now_us);
+
+  if (admission->by_age[WA_LEVEL_REST].length > 0 && usable > 1)
+    usable -= wa_slots_aged (admission, now_us);
+  return work_us / usable;
+}
+
+/* Long and mixed work comes after the short work that waits, on the slots that short work did not
+ * use lately; or else by ageing after half its deadline. */
+static gint64
+predict_rest (const WaAdmission *admission, gint64 work_us, gint64 waited_us, gint64 now_us)
+{
+  gdouble usable = wa_slots_usable (admission, now_us);
+  gdouble left = MAX (1, usable - MAX (admission->reserve_short, admission->short_use));
+  gdouble ordered_us = (gdouble) (work_us + work_of_level (admission, WA_LEVEL_SHORT)) / left;
+  gdouble aged_us = (gdouble) MAX (0, admission->deadline_us / 2 - waited_us) +
+                    (gdouble) work_us / wa_slots_aged (admission, now_us);
+
+  return (gint64) MIN (ordered_us, aged_us);
+}
+
 /* A tenant gets its share of the slots, and never waits for more work than there is. */
 static gint64
 predict (const WaAdmission *admission,
          WaLevel level,
          const WaTenant *tenant,
          gint64 own_ahead_us,
+         gint64 waited_us,
          gint64 now_us)
 {
   gint64 shared_us = own_ahead_us * active_weight (admission, level, tenant) / tenant->weight;
   gint64 work_us = MIN (shared_us, MAX (own_ahead_us, work_of_level (admission, level)));
 
-  if (level == WA_LEVEL_REST)
-    work_us += work_of_level (admission, WA_LEVEL_SHORT);
-  return (gint64) ((gdouble) work_us / slots_of_level (admission, level, now_us));
+  if (level == WA_LEVEL_SHORT)
+    return predict_short (admission, work_us, now_us);
+  return predict_rest (admission, work_us, waited_us, now_us);
 }
 
 gint64
@@ -104,7 +119,7 @@
   WaLevel level = wa_level (class);
   const WaTenant *share = wa_tenant (admission, level, tenant);
 
-  return predict (admission, level, share, work_of (admission, share->waiting_by_class), now_us);
+  return predict (admission, level, share, work_of (admission, share->waiting_by_class), 0, now_us);
 }
 
 gint64
@@ -113,7 +128,7 @@
   WaLevel level = wa_level (entry->class);
 
   return predict (admission, level, wa_tenant (admission, level, entry->tenant), own_ahead_us,
-                  now_us);
+                  now_us - entry->queued_us, now_us);
 }
 
 gint64
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -194,6 +194,7 @@
 WaEntry *wa_entry_get (const WaAdmission *admission, WbHandle flow);
 gboolean wa_entry_waits (const WaEntry *entry);
 guint wa_slots_usable (const WaAdmission *admission, gint64 now_us);
+guint wa_slots_aged (const WaAdmission *admission, gint64 now_us);
 guint wa_slots_busy (const WaAdmission *admission);
 gboolean wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us);
 void wa_slots_take (WaAdmission *admission, WaEntry *entry, WaEntryState state, gint64 now_us);
--- a/admission/wa-queue.c
+++ b/admission/wa-queue.c
@@ -103,15 +103,17 @@
 }
 
 /* Whether the class order is left aside because an entry outside the short class has waited for
- * half its deadline. At most every second admission is, so that old long work cannot hold up the
- * short class. The order of the tenants stays: a rush of one must not profit from its own long
- * queue. */
+ * half its deadline. At most every second admission is, and only while less than half the slots
+ * serve such work: one long request takes a slot for as long as many short ones, so counting
+ * admissions alone let long work hold up the short class. The order of the tenants stays: a rush of
+ * one must not profit from its own long queue. */
 static gboolean
 rest_is_aged (const WaAdmission *admission, gint64 now_us)
 {
   const GList *head = admission->by_age[WA_LEVEL_REST].head;
 
-  if (head == NULL || admission->last_was_aged)
+  if (head == NULL || admission->last_was_aged ||
+      admission->in_use[WA_LEVEL_REST] >= wa_slots_aged (admission, now_us))
     return FALSE;
   return now_us - ((const WaEntry *) head->data)->queued_us >= admission->deadline_us / 2;
 }
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -28,6 +28,13 @@
   return MAX (1, admission->slots / 2);
 }
 
+/* Slots that long and mixed work gets by ageing, however much short work there is. */
+guint
+wa_slots_aged (const WaAdmission *admission, gint64 now_us)
+{
+  return MAX (1, wa_slots_usable (admission, now_us) / 2);
+}
+
 guint
 wa_slots_busy (const WaAdmission *admission)
 {
