Write histograms as metrics lines

The metrics command is to show the wait per class and tenant, and histograms had no text form. One function writes quantiles, count, mean and maximum with labels; a test fixes the format.

--- a/base/wb-histogram.c
+++ b/base/wb-histogram.c
@@ -111,3 +111,22 @@
     }
   return histogram->max;
 }
+
+void
+wb_histogram_append_text (const WbHistogram *histogram,
+                          const gchar *name,
+                          const gchar *labels,
+                          GString *text)
+{
+  static const gdouble quantiles[] = { 0.5, 0.99, 0.999 };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (quantiles); i++)
+    g_string_append_printf (text, "%s{%s,quantile=%g} %" G_GINT64_FORMAT "\n", name, labels,
+                            quantiles[i], wb_histogram_quantile (histogram, quantiles[i]));
+  g_string_append_printf (text, "%s_count{%s} %" G_GUINT64_FORMAT "\n", name, labels,
+                          wb_histogram_count (histogram));
+  g_string_append_printf (text, "%s_mean{%s} %.0f\n", name, labels, wb_histogram_mean (histogram));
+  g_string_append_printf (text, "%s_max{%s} %" G_GINT64_FORMAT "\n", name, labels,
+                          wb_histogram_max (histogram));
+}
--- a/tests/test-base.c
+++ b/tests/test-base.c
@@ -106,6 +106,26 @@
   g_assert_cmpint (wb_histogram_max (histogram), ==, G_MAXINT64);
 }
 
+/* Guards against metrics lines that scripts can no longer read. */
+static void
+test_histogram_text (void)
+{
+  g_autoptr (WbHistogram) histogram = wb_histogram_new ();
+  GString *text = g_string_new (NULL);
+
+  wb_histogram_record (histogram, 3);
+  wb_histogram_record (histogram, 5);
+  wb_histogram_append_text (histogram, "wait_us", "class=short", text);
+  g_assert_cmpstr (text->str, ==,
+                   "wait_us{class=short,quantile=0.5} 3\n"
+                   "wait_us{class=short,quantile=0.99} 5\n"
+                   "wait_us{class=short,quantile=0.999} 5\n"
+                   "wait_us_count{class=short} 2\n"
+                   "wait_us_mean{class=short} 4\n"
+                   "wait_us_max{class=short} 5\n");
+  g_string_free (text, TRUE);
+}
+
 /* Guards against a change of the name hash: ids of members and services are exchanged between
  * versions. */
 static void
@@ -124,6 +144,7 @@
   g_test_add_func ("/base/table/random", test_random_against_hash_table);
   g_test_add_func ("/base/histogram/quantile-error", test_quantile_error);
   g_test_add_func ("/base/histogram/extremes", test_histogram_extremes);
+  g_test_add_func ("/base/histogram/text", test_histogram_text);
   g_test_add_func ("/base/name-id", test_name_id_is_fixed);
   return g_test_run ();
 }
