--- a/member/wm-config.c
+++ b/member/wm-config.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#define CLIENT_SPARE_BYTES 3600
+#define CLIENT_IDLE_US (1500 * WB_US_PER_MS)
+
 void
 wm_config_init (WmNode *node)
 {
@@ -240,8 +243,11 @@
 {
   const WmRoot *target = wm_config_root (node, request->config_version);
   const WmRoot *base = wm_config_root (node, request->base_version);
+  const WmRoot *fetched = &node->config.fetch.root;
   GBytes *delta;
 
+  if (target == NULL && fetched->bytes != NULL && fetched->version == request->config_version)
+    target = fetched;
   if (target == NULL)
     return NULL;
   memcpy (chunk->hash, target->hash, WM_HASH_BYTES);
@@ -254,6 +260,23 @@
   return delta;
 }
 
+/* While the budget is short, root objects go to one member until it has the whole of it. When all
+ * members ask the only holder of a new version, each would otherwise get a chunk now and then and
+ * none would soon be able to help. */
+static gboolean
+serves_root_to (WmNode *node, const WmContact *from)
+{
+  WmConfig *config = &node->config;
+
+  if (wm_send_spare (node, WM_CLASS_CONFIG) < CLIENT_SPARE_BYTES &&
+      node->now_us - config->client_us < CLIENT_IDLE_US &&
+      (config->client.address != from->address || config->client.port != from->port))
+    return FALSE;
+  config->client = *from;
+  config->client_us = node->now_us;
+  return TRUE;
+}
+
 void
 wm_config_serve (WmNode *node, const WmContact *from, guint32 xid, const ww_config_fetch *request)
 {
@@ -266,7 +289,11 @@
 
   memcpy (chunk.hash, request->hash, WM_HASH_BYTES);
   if (memcmp (request->hash, zeros, WM_HASH_BYTES) == 0)
-    object = find_root (node, request, &chunk);
+    {
+      if (!serves_root_to (node, from))
+        return;
+      object = find_root (node, request, &chunk);
+    }
   else
     {
       gchar hex[WM_HEX_BYTES];
--- a/member/wm-fetch.c
+++ b/member/wm-fetch.c
@@ -2,13 +2,15 @@
 
 #include <string.h>
 
-#define FETCH_TIMEOUT_US (600 * WB_US_PER_MS)
-#define FETCH_TIMEOUT_MAX_US (4 * WB_US_PER_S)
+/* The first request is repeated soon, in case it was lost; later ones leave a busy source time. */
+#define FIRST_TIMEOUT_US (600 * WB_US_PER_MS)
+#define TIMEOUT_MIN_US (1000 * WB_US_PER_MS)
+#define TIMEOUT_MAX_US (2000 * WB_US_PER_MS)
 #define BLOCKED_US (5 * WB_US_PER_S)
 
-/* From this number of missing parts on, as at a start, the requests go to random members, so that
- * the budget of one does not limit the rate. */
-#define MANY_MISSING 4
+/* Every fourth request for a root object goes to any member, for the case that those that announced
+ * the version are gone. */
+#define TRIES_PER_RANDOM 4
 
 void
 wm_fetch_init (WmNode *node)
@@ -44,17 +46,20 @@
   reset (node);
 }
 
-/* The member that the version was heard from first, then the others that announced it, then any. */
+/* The member that the version was heard from first, then the others that announced it. Parts that
+ * are fetched at the same time come from different members, and every second try goes to any
+ * member: those that are fetching too serve what they have. */
 static gboolean
 choose_source (WmNode *node, const WmSlot *slot, WmContact *source)
 {
   const WmFetch *fetch = &node->config.fetch;
-  gboolean many = fetch->missing->len > MANY_MISSING && !slot->is_root;
+  guint number = (guint) (slot - fetch->slots) + slot->tries;
+  guint period = slot->is_root ? TRIES_PER_RANDOM : 2;
   const WmMember *row;
 
-  if (!many && slot->tries < fetch->n_sources)
+  if (slot->tries % period != period - 1)
     {
-      *source = fetch->sources[slot->tries];
+      *source = fetch->sources[number % fetch->n_sources];
       return TRUE;
     }
   row = wm_pick (node, wm_is_live, 0);
@@ -68,7 +73,7 @@
 request_slot (WmNode *node, WmSlot *slot)
 {
   const WmFetch *fetch = &node->config.fetch;
-  gint64 timeout_us = FETCH_TIMEOUT_US << MIN (slot->tries, 3);
+  gint64 timeout_us = FIRST_TIMEOUT_US;
   ww_config_fetch request = { .sender_id = node->settings.id,
                               .config_version = fetch->version,
                               .base_version = slot->base_version,
@@ -79,11 +84,21 @@
   if (!slot->is_root)
     wm_hash_from_hex (slot->hex, (guint8 *) request.hash);
   slot->xid = call.xid = wm_next_xid (node);
-  slot->due_us = node->now_us + MIN (timeout_us, FETCH_TIMEOUT_MAX_US);
+  if (slot->tries > 0)
+    timeout_us = g_rand_int_range (node->random, TIMEOUT_MIN_US, TIMEOUT_MAX_US);
+  slot->due_us = node->now_us + timeout_us;
   if (choose_source (node, slot, &source))
     wm_send (node, WM_CLASS_CONFIG, &source, &call, xdr_ww_config_fetch, &request);
 }
 
+/* What has arrived stays: the next source goes on from there. */
+static void
+retry_slot (WmNode *node, WmSlot *slot)
+{
+  slot->tries++;
+  request_slot (node, slot);
+}
+
 static void
 restart_slot (WmNode *node, WmSlot *slot)
 {
@@ -154,7 +169,8 @@
   wm_config_take (node, version, root, hashes);
 }
 
-/* Parts already held are not fetched again. */
+/* Parts already held are not fetched again. The others are fetched in random order, so that members
+ * that fetch at the same time soon have different ones to give to each other. */
 static void
 list_missing (WmNode *node, GPtrArray *hashes)
 {
@@ -169,6 +185,14 @@
           wm_hash_from_hex (hashes->pdata[i], hash))
         g_ptr_array_add (fetch->missing, g_strdup (hashes->pdata[i]));
     }
+  for (i = fetch->missing->len; i > 1; i--)
+    {
+      guint other = (guint) g_rand_int_range (node->random, 0, (gint32) i);
+      gpointer swapped = fetch->missing->pdata[other];
+
+      fetch->missing->pdata[other] = fetch->missing->pdata[i - 1];
+      fetch->missing->pdata[i - 1] = swapped;
+    }
 }
 
 static GBytes *
@@ -216,7 +240,9 @@
       fetch->blocked_us = node->now_us + BLOCKED_US;
       return;
     }
+  memcpy (fetch->root.hash, slot->hash, WM_HASH_BYTES);
   clear_slot (slot);
+  fetch->root.version = fetch->version;
   fetch->root.bytes = g_steal_pointer (&root);
   list_missing (node, hashes);
   finish_if_complete (node);
@@ -271,6 +297,11 @@
 void
 wm_fetch_chunk (WmNode *node, WmSlot *slot, const ww_config_chunk *chunk)
 {
+  if (chunk->total == 0)
+    {
+      retry_slot (node, slot);
+      return;
+    }
   if (!chunk_fits (slot, chunk))
     {
       restart_slot (node, slot);
@@ -333,7 +364,7 @@
 
   for (i = 0; i < WM_FETCH_SLOTS; i++)
     if (fetch->slots[i].busy && fetch->slots[i].due_us <= node->now_us)
-      restart_slot (node, &fetch->slots[i]);
+      retry_slot (node, &fetch->slots[i]);
 }
 
 gint64
--- a/member/wm-gossip.c
+++ b/member/wm-gossip.c
@@ -3,6 +3,9 @@
 #define MEMBER_ITEM_BYTES 56
 #define STATE_ITEM_BYTES 44
 #define ZONE_ITEM_BYTES 24
+#define PUSH_ZONE_ITEMS 4
+/* A push to 4 members takes at most about half of what is left. */
+#define PUSH_SHARE 8
 
 void
 wm_gossip_init (WmNode *node)
@@ -53,6 +56,13 @@
   news->remaining = repeats (node);
 }
 
+/* Spread by piggybacking alone. */
+void
+wm_news_quiet (WmNode *node, guint64 id)
+{
+  add_news (node, WW_GOSSIP_MEMBER, id, 0);
+}
+
 void
 wm_news_member (WmNode *node, guint64 id)
 {
@@ -143,6 +153,7 @@
   gossip->sender_id = node->settings.id;
   gossip->incarnation = wm_self (node)->info.incarnation;
   gossip->config = wm_config_id (node);
+  gossip->members = wm_live_count (node);
   gossip->items.items_val = items;
   gossip->items.items_len = 0;
 }
@@ -206,16 +217,34 @@
   wm_send (node, class, to, &call, xdr_ww_gossip, gossip);
 }
 
-void
-wm_gossip_send_self (WmNode *node, const WmContact *to)
+static void
+send_member (WmNode *node, WmClass class, const WmContact *to, guint64 id)
 {
   ww_gossip_item item;
   ww_gossip gossip;
 
   fill_header (node, &gossip, &item);
-  member_item (node, node->settings.id, &item);
+  member_item (node, id, &item);
   gossip.items.items_len = 1;
-  send_gossip (node, WM_CLASS_REST, to, &gossip);
+  send_gossip (node, class, to, &gossip);
+}
+
+void
+wm_gossip_send_self (WmNode *node, const WmContact *to)
+{
+  send_member (node, WM_CLASS_NEWS, to, node->settings.id);
+}
+
+/* Tells those that can confirm a suspicion, and the suspected member, which can refute it. */
+void
+wm_gossip_ask (WmNode *node, const WmMember *row, const WmContact *helpers, guint count)
+{
+  WmContact suspect = wm_contact (row);
+  guint i;
+
+  for (i = 0; i < count; i++)
+    send_member (node, WM_CLASS_NEWS, &helpers[i], row->info.id);
+  send_member (node, WM_CLASS_NEWS, &suspect, row->info.id);
 }
 
 static void
@@ -241,41 +270,62 @@
   send_to_random (node, WM_CLASS_CONFIG, &gossip);
 }
 
-/* Sends new items to a few members at once: with piggybacking alone the last member would learn of
- * a failure after about 2 * log2(n) periods. */
-void
-wm_gossip_tick (WmNode *node)
+static void
+fill_new_zones (WmNode *node, ww_gossip *gossip)
 {
-  ww_gossip_item items[WW_MAX_GOSSIP_ITEMS];
-  ww_gossip gossip;
-  gboolean urgent = FALSE;
   GList *link;
-  guint i;
 
-  if (node->now_us < node->push_us)
-    return;
-  node->push_us = WB_NEVER;
-  fill_header (node, &gossip, items);
-  for (link = node->news.head; link != NULL && gossip.items.items_len < 4; link = link->next)
+  for (link = node->news.head; link != NULL && gossip->items.items_len < PUSH_ZONE_ITEMS;
+       link = link->next)
     {
       const WmNews *news = link->data;
 
       if (news->kind == WW_GOSSIP_ZONE && news->remaining == repeats (node) &&
-          make_item (node, news, &items[gossip.items.items_len]) != 0)
-        gossip.items.items_len++;
+          make_item (node, news, &gossip->items.items_val[gossip->items.items_len]) != 0)
+        gossip->items.items_len++;
     }
-  for (i = 0; i < node->push->len && gossip.items.items_len < WW_MAX_GOSSIP_ITEMS; i++)
+}
+
+/* Return: whether there is a suspicion or a departure among the items */
+static gboolean
+fill_new_members (WmNode *node, ww_gossip *gossip, gsize allowance)
+{
+  gboolean urgent = gossip->items.items_len > 0;
+  gsize used = 0;
+  guint i;
+
+  for (i = 0; i < node->push->len && gossip->items.items_len < WW_MAX_GOSSIP_ITEMS; i++)
     {
-      ww_gossip_item *item = &items[gossip.items.items_len];
+      ww_gossip_item *item = &gossip->items.items_val[gossip->items.items_len];
+      gsize size = member_item (node, g_array_index (node->push, guint64, i), item);
 
-      if (member_item (node, g_array_index (node->push, guint64, i), item) == 0)
+      used += size;
+      if (size == 0 || used > allowance)
         continue;
       urgent = urgent || item->kind == WW_GOSSIP_STATE;
-      gossip.items.items_len++;
+      gossip->items.items_len++;
     }
+  return urgent;
+}
+
+/* Sends new items to a few members at once: with piggybacking alone the last member would learn of
+ * a failure after about 2 * log2(n) periods. */
+void
+wm_gossip_tick (WmNode *node)
+{
+  ww_gossip_item items[WW_MAX_GOSSIP_ITEMS];
+  ww_gossip gossip;
+  gboolean urgent;
+
+  if (node->now_us < node->push_us)
+    return;
+  node->push_us = WB_NEVER;
+  fill_header (node, &gossip, items);
+  fill_new_zones (node, &gossip);
+  urgent = fill_new_members (node, &gossip, wm_send_spare (node, WM_CLASS_NEWS) / PUSH_SHARE);
   g_array_set_size (node->push, 0);
-  if (gossip.items.items_len > 0 && (urgent || wm_send_item_allowance (node) > 256))
-    send_to_random (node, urgent ? WM_CLASS_DETECTION : WM_CLASS_REST, &gossip);
+  if (gossip.items.items_len > 0 && (urgent || wm_send_spare (node, WM_CLASS_REST) > 0))
+    send_to_random (node, WM_CLASS_NEWS, &gossip);
 }
 
 static void
@@ -310,5 +360,6 @@
     return;
   wm_zone_alive (node, sender->info.zone);
   wm_join_heard (node, gossip->sender_id);
+  wm_join_heard_count (node, gossip->members);
   wm_fetch_heard (node, &gossip->config, from);
 }
--- a/member/wm-join.c
+++ b/member/wm-join.c
@@ -181,7 +181,7 @@
 
   if (info->id == self->id && info->incarnation == self->incarnation &&
       info->state != WW_MEMBER_ALIVE && !node->leaving)
-    wm_raise_incarnation (node, info->incarnation);
+    wm_raise_incarnation (node, info->incarnation, TRUE);
   else
     wm_apply_member (node, info, FALSE);
 }
@@ -278,6 +278,14 @@
   join->heard[join->n_heard++] = id;
 }
 
+/* Another member knows more members. While items go round that is to be expected. */
+void
+wm_join_heard_count (WmNode *node, guint members)
+{
+  if (node->join.complete && members > wm_live_count (node) && g_queue_is_empty (&node->news))
+    node->join.sync_us = MIN (node->join.sync_us, node->now_us + SYNC_BEHIND_INTERVAL_US);
+}
+
 static void
 update_ready (WmNode *node)
 {
@@ -325,13 +333,13 @@
 wm_join_next_us (const WmNode *node)
 {
   const WmJoin *join = &node->join;
-  gint64 next_us = MIN (join->sync_us, join->revive_us);
+  gint64 next_us = node->leaving ? WB_NEVER : MIN (join->sync_us, join->revive_us);
   gint64 ready_us = node->start_us + READY_WAIT_US;
   guint i;
 
-  if (!join->joined)
+  if (!join->joined && !node->leaving)
     next_us = MIN (next_us, join->retry_us);
-  if (!join->ready && node->now_us < ready_us)
+  if (!join->ready && !node->leaving && node->now_us < ready_us)
     next_us = MIN (next_us, ready_us);
   for (i = 0; i < join->requests->len; i++)
     next_us = MIN (next_us, request_at (node, i)->due_us);
--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -46,6 +46,8 @@
   node->probes = g_array_new (FALSE, FALSE, sizeof (WmProbe));
   /* Processes that start together do not probe in step. */
   node->probe_us = now_us + g_rand_int_range (node->random, 0, WM_PROBE_PERIOD_US);
+  node->config.client_us = now_us - 60 * WB_US_PER_S;
+  node->peers_probed_us = now_us - WM_PEER_PERIOD_US;
   node->peer_us = now_us + g_rand_int_range (node->random, 0, WM_PEER_PERIOD_US);
   wm_send_init (node);
   wm_table_init (node);
@@ -107,7 +109,9 @@
   next_us = MIN (next_us, wm_send_next_us (node));
   next_us = MIN (next_us, wm_join_next_us (node));
   next_us = MIN (next_us, wm_fetch_next_us (node));
-  node->next_us = MIN (next_us, node->cleanup_us);
+  next_us = MIN (next_us, node->cleanup_us);
+  /* Work that is overdue already, as the end of a suspicion that was heard late, is no pause. */
+  node->next_us = MAX (next_us, node->now_us);
 }
 
 gint64
@@ -148,7 +152,7 @@
   forget_pause (node);
   if (node->leaving)
     return;
-  wm_raise_incarnation (node, wm_self (node)->info.incarnation);
+  wm_raise_incarnation (node, wm_self (node)->info.incarnation, TRUE);
   wm_probe_peers (node);
 }
 
@@ -191,7 +195,7 @@
   if (self->flags == flags)
     return;
   self->flags = flags;
-  wm_raise_incarnation (node, self->incarnation);
+  wm_raise_incarnation (node, self->incarnation, TRUE);
   leave_call (node);
 }
 
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -24,14 +24,21 @@
 
 #define WM_DEAD_KEEP_US (3600 * WB_US_PER_S)
 #define WM_MAX_TABLE 16384
-#define WM_N_CLASSES 3
-
-/** Order of precedence for the send budget. */
+/**
+ * enum WmClass - order of precedence for the send budget
+ * @WM_CLASS_ACK: first, because a lost answer is taken for a failure
+ * @WM_CLASS_INDIRECT: messages through helpers, which multiply when many members fail
+ * @WM_CLASS_NEWS: pushes of suspicions
+ */
 typedef enum
 {
-  WM_CLASS_DETECTION,
+  WM_CLASS_ACK,
+  WM_CLASS_PROBE,
+  WM_CLASS_INDIRECT,
+  WM_CLASS_NEWS,
   WM_CLASS_CONFIG,
   WM_CLASS_REST,
+  WM_N_CLASSES,
 } WmClass;
 
 enum
@@ -85,6 +92,12 @@
   WM_PROBE_SWEEP, /* of a further member of an availability zone in which a probe failed */
 } WmProbeKind;
 
+typedef struct
+{
+  guint32 address;
+  guint16 port;
+} WmContact;
+
 typedef struct
 {
   WmProbeKind kind;
@@ -94,13 +107,18 @@
   guint32 origin_xid; /* for WM_PROBE_RELAY */
   guint32 origin_address;
   guint16 origin_port;
+  guint n_helpers; /* for WM_PROBE_INDIRECT: members that were asked */
+  WmContact helpers[WM_HELPERS];
 } WmProbe;
 
+/** struct WmFailedRelay - a ping on behalf of another member that was not answered */
 typedef struct
 {
-  guint32 address;
-  guint16 port;
-} WmContact;
+  guint64 id;
+  gint64 failed_us;
+} WmFailedRelay;
+
+#define WM_FAILED_RELAYS 16
 
 /** struct WmQueued - a datagram that waits for the send budget */
 typedef struct
@@ -195,7 +213,7 @@
 #define WM_OBJECT_MAX (1 << 20)
 #define WM_ROOTS 4
 #define WM_FETCH_SLOTS 8
-#define WM_FETCH_SOURCES 4
+#define WM_FETCH_SOURCES 8
 
 typedef struct
 {
@@ -255,6 +273,8 @@
   GBytes *delta;
   guint64 delta_base;
   guint64 delta_target;
+  WmContact client; /* that is being sent a root object */
+  gint64 client_us;
   WmFetch fetch;
 } WmConfig;
 
@@ -288,6 +308,10 @@
   GArray *probes;
   gint64 probe_us;
   gint64 peer_us;
+  gint64 peers_probed_us;
+  WmFailedRelay failed_relays[WM_FAILED_RELAYS];
+  guint next_relay;
+  gint64 self_pushed_us;
   gint64 revive_us;
 
   GQueue news; /* of WmNews */
@@ -309,15 +333,16 @@
 /* wm-send.c */
 void wm_send_init (WmNode *node);
 void wm_send_clear (WmNode *node);
-void wm_send (WmNode *node,
-              WmClass class,
-              const WmContact *to,
-              const WwCall *call,
-              gpointer encoder,
-              gpointer body);
+gboolean wm_send (WmNode *node,
+                  WmClass class,
+                  const WmContact *to,
+                  const WwCall *call,
+                  gpointer encoder,
+                  gpointer body);
 void wm_send_tick (WmNode *node);
 gint64 wm_send_next_us (const WmNode *node);
 gsize wm_send_item_allowance (WmNode *node);
+gsize wm_send_spare (WmNode *node, WmClass class);
 guint32 wm_next_xid (WmNode *node);
 
 /* wm-table.c */
@@ -343,13 +368,16 @@
 void wm_apply_member (WmNode *node, const ww_member *info, gboolean spread);
 void wm_apply_state (WmNode *node, const ww_gossip_state *item, const WmContact *from);
 void wm_suspect (WmNode *node, WmMember *row, guint64 reporter, guint64 second, gint64 start_us);
-void wm_raise_incarnation (WmNode *node, guint64 above);
+void wm_raise_incarnation (WmNode *node, guint64 above, gboolean push);
+void wm_relay_failed (WmNode *node, WmMember *row);
 void wm_state_tick (WmNode *node);
 
 /* wm-gossip.c */
 void wm_gossip_init (WmNode *node);
 void wm_gossip_clear (WmNode *node);
 void wm_news_member (WmNode *node, guint64 id);
+void wm_news_quiet (WmNode *node, guint64 id);
+void wm_gossip_ask (WmNode *node, const WmMember *row, const WmContact *helpers, guint count);
 void wm_news_zone (WmNode *node, guint32 zone, guint64 reporter);
 void wm_gossip_fill (
     WmNode *node, ww_gossip *gossip, ww_gossip_item *items, guint64 subject, guint64 incarnation);
@@ -383,6 +411,7 @@
 void wm_join_tick (WmNode *node);
 gint64 wm_join_next_us (const WmNode *node);
 void wm_join_heard (WmNode *node, guint64 id);
+void wm_join_heard_count (WmNode *node, guint members);
 gboolean wm_join_is_pending (const WmNode *node, guint32 xid);
 void
 wm_join_reply (WmNode *node, guint32 xid, const WmContact *from, const ww_members_reply *reply);
--- a/member/wm-probe.c
+++ b/member/wm-probe.c
@@ -2,7 +2,7 @@
 
 /* Bounds the work that a burst of ping-req messages can cause. */
 #define MAX_PROBES 256
-#define SWEEP_MEMBERS 4
+#define SWEEP_MEMBERS 6
 
 static WmProbe *
 probe_at (const WmNode *node, guint number)
@@ -24,27 +24,29 @@
   return probe_at (node, node->probes->len - 1);
 }
 
-static void
-send_ping (WmNode *node, const WmContact *to, guint64 target_id, guint32 xid)
+static gboolean
+send_ping (WmNode *node, WmClass class, const WmContact *to, guint64 target_id, guint32 xid)
 {
   ww_gossip_item items[WW_MAX_GOSSIP_ITEMS];
   WwCall call = { .xid = xid, .procedure = WW_PROC_PING };
   ww_ping ping = { .target_id = target_id };
 
   wm_gossip_fill (node, &ping.gossip, items, target_id, 0);
-  wm_send (node, WM_CLASS_DETECTION, to, &call, xdr_ww_ping, &ping);
+  return wm_send (node, class, to, &call, xdr_ww_ping, &ping);
 }
 
 void
 wm_probe_member (WmNode *node, WmMember *row, WmProbeKind kind)
 {
   WmContact to = wm_contact (row);
+  WmClass class = kind == WM_PROBE_DIRECT ? WM_CLASS_PROBE : WM_CLASS_INDIRECT;
   const WmProbe *probe = add_probe (node, kind, row->info.id);
 
   if (probe == NULL)
     return;
   wb_counters_add (node->counters, WM_COUNTER_PROBES, 1);
-  send_ping (node, &to, row->info.id, probe->xid);
+  if (!send_ping (node, class, &to, row->info.id, probe->xid))
+    g_array_set_size (node->probes, node->probes->len - 1);
 }
 
 /* All endpoints of the own service at once: those that failed together are found together. */
@@ -54,6 +56,9 @@
   GArray *peers = wm_peers (node);
   guint i;
 
+  if (node->now_us < node->peers_probed_us + WM_PEER_PERIOD_US)
+    return;
+  node->peers_probed_us = node->now_us;
   for (i = 0; i < peers->len && i < 16; i++)
     {
       WmMember *row = wm_find (node, g_array_index (peers, guint64, i));
@@ -84,8 +89,9 @@
     }
 }
 
-static void
-ask_helpers (WmNode *node, const WmProbe *probe)
+/* Return: how many were asked */
+static guint
+ask_helpers (WmNode *node, WmProbe *probe)
 {
   WmContact contacts[WM_HELPERS];
   guint64 ids[WM_HELPERS];
@@ -102,8 +108,10 @@
                           .port = wm_member_control_port (&row->info) };
 
       wm_gossip_fill (node, &req.gossip, items, ids[i], 0);
-      wm_send (node, WM_CLASS_DETECTION, &contacts[i], &call, xdr_ww_ping_req, &req);
+      if (wm_send (node, WM_CLASS_INDIRECT, &contacts[i], &call, xdr_ww_ping_req, &req))
+        probe->helpers[probe->n_helpers++] = contacts[i];
     }
+  return probe->n_helpers;
 }
 
 static gboolean
@@ -137,9 +145,16 @@
   wb_counters_add (node->counters, WM_COUNTER_PROBES_FAILED, 1);
   if (wm_zone_failed (node, row))
     sweep_zone (node, row->info.zone, row->info.id);
-  /* Sweeps are not repeated through helpers, so that one lost datagram would count. */
-  if (probe->kind != WM_PROBE_SWEEP)
-    wm_suspect (node, row, node->settings.id, 0, node->now_us);
+  if (probe->kind == WM_PROBE_INDIRECT)
+    {
+      gboolean known = row->info.state != WW_MEMBER_ALIVE;
+
+      wm_suspect (node, row, node->settings.id, 0, node->now_us);
+      if (!known)
+        wm_gossip_ask (node, row, probe->helpers, probe->n_helpers);
+    }
+  if (probe->kind == WM_PROBE_RELAY)
+    wm_relay_failed (node, row);
 }
 
 static void
@@ -161,8 +176,11 @@
         {
           probe_at (node, i)->kind = WM_PROBE_INDIRECT;
           probe_at (node, i)->due_us = node->now_us + WM_INDIRECT_TIMEOUT_US;
-          ask_helpers (node, &probe);
-          i++;
+          /* Without helpers there is no judgement, unless nobody is left to ask. */
+          if (ask_helpers (node, probe_at (node, i)) > 0 || wm_live_count (node) <= 2)
+            i++;
+          else
+            g_array_remove_index_fast (node->probes, i);
           continue;
         }
       g_array_remove_index_fast (node->probes, i);
@@ -195,10 +213,11 @@
 gint64
 wm_probe_next_us (const WmNode *node)
 {
-  gint64 next_us =
-      node->settings.service_id != 0 ? MIN (node->probe_us, node->peer_us) : node->probe_us;
+  gint64 next_us = node->leaving ? WB_NEVER : node->probe_us;
   guint i;
 
+  if (node->settings.service_id != 0 && !node->leaving)
+    next_us = MIN (next_us, node->peer_us);
   for (i = 0; i < node->probes->len; i++)
     next_us = MIN (next_us, probe_at (node, i)->due_us);
   return next_us;
@@ -212,7 +231,7 @@
 
   wm_gossip_fill (node, &ack->gossip, items, heard ? heard->sender_id : 0,
                   heard ? heard->incarnation : 0);
-  wm_send (node, WM_CLASS_DETECTION, to, &call, xdr_ww_ack, ack);
+  wm_send (node, WM_CLASS_ACK, to, &call, xdr_ww_ack, ack);
 }
 
 void
@@ -241,7 +260,7 @@
   ack.target_incarnation = wm_self (node)->info.incarnation;
   ack.gossip.sender_id = node->settings.id;
   ack.gossip.incarnation = ack.target_incarnation;
-  wm_send (node, WM_CLASS_DETECTION, from, &call, xdr_ww_ack, &ack);
+  wm_send (node, WM_CLASS_ACK, from, &call, xdr_ww_ack, &ack);
 }
 
 void
@@ -261,7 +280,8 @@
   probe->origin_xid = xid;
   probe->origin_address = from->address;
   probe->origin_port = from->port;
-  send_ping (node, &to, req->target_id, probe->xid);
+  if (!send_ping (node, WM_CLASS_INDIRECT, &to, req->target_id, probe->xid))
+    g_array_set_size (node->probes, node->probes->len - 1);
 }
 
 gint
--- a/member/wm-send.c
+++ b/member/wm-send.c
@@ -19,8 +19,10 @@
 #define QUEUE_AGE_US (500 * WB_US_PER_MS)
 #define MIN_ITEM_ALLOWANCE_BYTES 64
 
-/* Tokens that a class leaves to the classes before it. */
-static const gint64 reserves_bytes[WM_N_CLASSES] = { 0, 1024, 2048 };
+/* Tokens that a class leaves to the classes before it. The rest, which includes piggybacked items,
+ * leaves enough for one datagram of configuration: with 2,048 bytes items kept the level just below
+ * what a chunk takes. */
+static const gint64 reserves_bytes[WM_N_CLASSES] = { 0, 256, 512, 768, 1024, 2560 };
 
 void
 wm_send_init (WmNode *node)
@@ -90,8 +92,13 @@
   node->callbacks.send (node->callbacks.context, address, port, bytes->data, bytes->len);
 }
 
-/* Probes and their answers are useless later, so that they are dropped; the rest may wait. */
-void
+/*
+ * Probes and their answers are useless later, so that they are dropped; the rest may wait.
+ *
+ * Return: FALSE when the datagram was dropped. A probe that was not sent must not count as failed:
+ * otherwise a node that has used up its budget takes all others for dead.
+ */
+gboolean
 wm_send (WmNode *node,
          WmClass class,
          const WmContact *to,
@@ -103,17 +110,17 @@
   WmQueued *queued;
 
   if (bytes == NULL)
-    return;
+    return FALSE;
   refill (node);
   if (g_queue_is_empty (&node->queues[class]) && affordable (node, class, bytes->len))
     {
       emit (node, to->address, to->port, bytes);
-      return;
+      return TRUE;
     }
-  if (class == WM_CLASS_DETECTION || node->queues[class].length >= QUEUE_LENGTH)
+  if (class <= WM_CLASS_NEWS || node->queues[class].length >= QUEUE_LENGTH)
     {
       wb_counters_add (node->counters, WM_COUNTER_OVER_BUDGET, 1);
-      return;
+      return FALSE;
     }
   queued = g_new0 (WmQueued, 1);
   queued->bytes = g_steal_pointer (&bytes);
@@ -121,6 +128,7 @@
   queued->port = to->port;
   queued->until_us = node->now_us + QUEUE_AGE_US;
   g_queue_push_tail (&node->queues[class], queued);
+  return TRUE;
 }
 
 void
@@ -167,16 +175,22 @@
   return next_us;
 }
 
+/* Bytes that the class could send now. */
+gsize
+wm_send_spare (WmNode *node, WmClass class)
+{
+  refill (node);
+  return (gsize) MAX (node->tokens / MILLIONTHS - reserves_bytes[class], 0);
+}
+
 /* Bytes of piggybacked items in one message. It shrinks to one item when the budget is used up, so
  * that probes still go through and other messages are not starved by items. */
 gsize
 wm_send_item_allowance (WmNode *node)
 {
-  gint64 spare;
-
-  refill (node);
-  spare = node->tokens / MILLIONTHS - reserves_bytes[WM_CLASS_REST];
-  return MIN_ITEM_ALLOWANCE_BYTES + (gsize) (MAX (spare, 0) / 6);
+  if (!g_queue_is_empty (&node->queues[WM_CLASS_CONFIG]))
+    return MIN_ITEM_ALLOWANCE_BYTES;
+  return MIN_ITEM_ALLOWANCE_BYTES + wm_send_spare (node, WM_CLASS_REST) / 6;
 }
 
 void
--- a/member/wm-serve.c
+++ b/member/wm-serve.c
@@ -46,7 +46,7 @@
     }
   if (join->target_id == node->settings.id && join->target_state != WW_MEMBER_ALIVE &&
       join->target_incarnation >= wm_self (node)->info.incarnation)
-    wm_raise_incarnation (node, join->target_incarnation);
+    wm_raise_incarnation (node, join->target_incarnation, TRUE);
   wm_apply_member (node, &join->member, TRUE);
   row = wm_find (node, join->member.id);
   if (row != NULL &&
--- a/member/wm-state.c
+++ b/member/wm-state.c
@@ -3,6 +3,12 @@
 /* Older suspicions carry no information about the order of events. */
 #define MAX_AGE_US (600 * WB_US_PER_S)
 
+#define SELF_PUSH_INTERVAL_US (500 * WB_US_PER_MS)
+
+/* A member has at least 1.5 s to refute after the confirmation of a suspicion, which all hear of.
+ * Helpers confirm a failure within 200 ms, so that this does not delay its declaration. */
+#define CONFIRMATION_AGE_US (500 * WB_US_PER_MS)
+
 static void
 clear_suspicion (WmNode *node, guint64 id)
 {
@@ -11,7 +17,7 @@
 
 /* An epoch above that of an earlier process of the same name, or else the next number. */
 void
-wm_raise_incarnation (WmNode *node, guint64 above)
+wm_raise_incarnation (WmNode *node, guint64 above, gboolean push)
 {
   ww_member *self = &wm_self (node)->info;
 
@@ -20,7 +26,10 @@
   else
     self->incarnation = MAX (self->incarnation, above) + 1;
   node->changed = TRUE;
-  wm_news_member (node, self->id);
+  if (push)
+    wm_news_member (node, self->id);
+  else
+    wm_news_quiet (node, self->id);
 }
 
 static void
@@ -33,12 +42,21 @@
   if (item->incarnation < own)
     {
       wm_gossip_send_self (node, from);
+      /* The refutation may not have reached all that have heard of a confirmed suspicion. */
+      if (item->second_id != 0 && node->now_us - node->self_pushed_us >= SELF_PUSH_INTERVAL_US)
+        {
+          node->self_pushed_us = node->now_us;
+          wm_news_member (node, node->settings.id);
+        }
       return;
     }
   if (item->state == WW_MEMBER_ALIVE && item->incarnation == own)
     return;
   wb_counters_add (node->counters, WM_COUNTER_REFUTED, 1);
-  wm_raise_incarnation (node, item->incarnation);
+  /* Few have heard of a suspicion that nobody confirmed. */
+  wm_raise_incarnation (node, item->incarnation,
+                        item->second_id != 0 || item->state != WW_MEMBER_SUSPECT);
+  wm_gossip_send_self (node, from);
 }
 
 static gboolean
@@ -48,6 +66,26 @@
          (info->role == WW_ROLE_BALANCER || info->role == WW_ROLE_AGENT);
 }
 
+static guint
+count_reporters (const WmSuspicion *suspicion)
+{
+  guint i, count = 0;
+
+  for (i = 0; i < WM_REPORTERS; i++)
+    count += suspicion->reporters[i] != 0;
+  return count;
+}
+
+static gboolean
+is_unconfirmed (const WmNode *node, const WmMember *row)
+{
+  const WmSuspicion *suspicion =
+      g_hash_table_lookup (node->suspicions, GSIZE_TO_POINTER (row->info.id));
+
+  return row->info.state == WW_MEMBER_SUSPECT && suspicion != NULL &&
+         count_reporters (suspicion) < node->required_reporters;
+}
+
 /* A record of a live member. Its state is that of the sender's view and is not taken over. Records
  * from a list of members are not spread: the others have them already. */
 void
@@ -55,11 +93,12 @@
 {
   WmMember *row = wm_find (node, info->id);
   ww_member alive = *info;
+  gboolean quiet;
 
   if (info->id == node->settings.id)
     {
       if (info->incarnation > wm_self (node)->info.incarnation && !node->leaving)
-        wm_raise_incarnation (node, info->incarnation);
+        wm_raise_incarnation (node, info->incarnation, TRUE);
       return;
     }
   alive.state = WW_MEMBER_ALIVE;
@@ -75,10 +114,13 @@
     return;
   if (row->info.state == WW_MEMBER_SUSPECT)
     wm_zone_alive (node, row->info.zone);
+  quiet = is_unconfirmed (node, row);
   clear_suspicion (node, info->id);
   wm_table_update (node, row, &alive);
   wm_table_set_state (node, row, WW_MEMBER_ALIVE);
-  if (spread)
+  if (spread && quiet)
+    wm_news_quiet (node, info->id);
+  else if (spread)
     wm_news_member (node, info->id);
 }
 
@@ -89,16 +131,6 @@
   wm_table_set_state (node, row, WW_MEMBER_DEAD);
 }
 
-static guint
-count_reporters (const WmSuspicion *suspicion)
-{
-  guint i, count = 0;
-
-  for (i = 0; i < WM_REPORTERS; i++)
-    count += suspicion->reporters[i] != 0;
-  return count;
-}
-
 static gboolean
 add_reporter (const WmNode *node, WmSuspicion *suspicion, guint64 subject, guint64 reporter)
 {
@@ -128,6 +160,35 @@
   return suspicion->start_us + WM_SUSPICION_US;
 }
 
+/* A helper's own ping failed. One lost datagram is enough for that, so it only confirms a suspicion
+ * that another member has or reports soon. With helpers that began suspicions 10% loss led to a
+ * quarter of the members being suspected. */
+void
+wm_relay_failed (WmNode *node, WmMember *row)
+{
+  WmFailedRelay *failed = &node->failed_relays[node->next_relay];
+
+  if (row->info.state == WW_MEMBER_SUSPECT)
+    {
+      wm_suspect (node, row, node->settings.id, 0, node->now_us);
+      return;
+    }
+  *failed = (WmFailedRelay){ row->info.id, node->now_us };
+  node->next_relay = (node->next_relay + 1) % WM_FAILED_RELAYS;
+}
+
+static gboolean
+relay_failed_recently (const WmNode *node, guint64 id)
+{
+  guint i;
+
+  for (i = 0; i < WM_FAILED_RELAYS; i++)
+    if (node->failed_relays[i].id == id &&
+        node->now_us - node->failed_relays[i].failed_us < WM_SUSPICION_US)
+      return TRUE;
+  return FALSE;
+}
+
 /* Service peers try for themselves at once, which confirms the suspicion or lets the member answer.
  */
 static void
@@ -144,6 +205,21 @@
     }
 }
 
+static void
+set_start (
+    const WmNode *node, WmSuspicion *suspicion, guint before, gboolean confirmed, gint64 start_us)
+{
+  if (before >= node->required_reporters)
+    return;
+  suspicion->start_us = MIN (suspicion->start_us, start_us);
+  if (count_reporters (suspicion) < node->required_reporters)
+    return;
+  if (confirmed)
+    suspicion->start_us = start_us;
+  else
+    suspicion->start_us = MAX (suspicion->start_us, node->now_us - CONFIRMATION_AGE_US);
+}
+
 void
 wm_suspect (WmNode *node, WmMember *row, guint64 reporter, guint64 second, gint64 start_us)
 {
@@ -151,23 +227,30 @@
   WmSuspicion *suspicion = g_hash_table_lookup (node->suspicions, key);
   WmSuspicion fresh = { .start_us = start_us };
   gboolean added;
+  guint before;
 
   if (row->info.state >= WW_MEMBER_DEAD)
     return;
   if (suspicion == NULL)
     suspicion = &fresh;
+  before = count_reporters (suspicion);
   added = add_reporter (node, suspicion, row->info.id, reporter);
   added = add_reporter (node, suspicion, row->info.id, second) || added;
   if (!added)
     return;
-  suspicion->start_us = MIN (suspicion->start_us, start_us);
+  if (relay_failed_recently (node, row->info.id))
+    add_reporter (node, suspicion, row->info.id, node->settings.id);
+  set_start (node, suspicion, before, second != 0, start_us);
   if (suspicion == &fresh)
     {
       suspicion = g_memdup2 (&fresh, sizeof fresh);
       g_hash_table_insert (node->suspicions, key, suspicion);
       suspicion_began (node, row, reporter);
     }
-  wm_news_member (node, row->info.id);
+  if (suspicion_end_us (node, suspicion) != WB_NEVER)
+    wm_news_member (node, row->info.id);
+  else
+    wm_news_quiet (node, row->info.id);
   node->suspicion_due_us = MIN (node->suspicion_due_us, suspicion_end_us (node, suspicion));
 }
 
--- a/member/wm-zone.c
+++ b/member/wm-zone.c
@@ -4,7 +4,7 @@
 
 /* Bounds the table; a configuration has a few availability zones. */
 #define MAX_ZONES 64
-#define SWEEP_INTERVAL_US (5 * WB_US_PER_S)
+#define SWEEP_INTERVAL_US (2 * WB_US_PER_S)
 /* Reporters repeat their evidence, so that it ends by itself when the zone is back. */
 #define REPORT_INTERVAL_US (10 * WB_US_PER_S)
 #define EVIDENCE_KEEP_US (30 * WB_US_PER_S)
@@ -40,11 +40,15 @@
 wm_zone_alive (WmNode *node, guint32 zone)
 {
   WmZone *found = get_zone (node, zone);
+  guint i;
 
   if (found == NULL)
     return;
   found->alive_us = node->now_us;
   found->n_failed = 0;
+  /* Reports that were made before do not count any more. */
+  for (i = 0; i < found->n_reporters; i++)
+    found->reporters[i].heard_us = node->now_us - EVIDENCE_KEEP_US;
 }
 
 static void
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -1,5 +1,7 @@
 #include "member-net.h"
 
+#define BUDGET_BYTES_PER_MINUTE G_GUINT64_CONSTANT (122880)
+
 /* Guards against a join that does not spread, and a list of members that stays incomplete. */
 static void
 test_join (void)
@@ -66,12 +68,434 @@
   g_assert_cmpuint (mn_count_applied (net, 2), ==, net->count);
 }
 
+static gboolean
+cut_groups (MnNet *net, guint from, guint to)
+{
+  return (from < net->cut_argument) != (to < net->cut_argument);
+}
+
+static gboolean
+cut_one_way (MnNet *net, guint from, guint to)
+{
+  return from < net->cut_argument && to >= net->cut_argument;
+}
+
+/* The node hears nobody, but is heard. */
+static gboolean
+cut_inbound (MnNet *net, guint from, guint to)
+{
+  return to == net->cut_argument;
+}
+
+static gboolean
+cut_pair (MnNet *net, guint from, guint to)
+{
+  return (from == net->cut_argument && to == net->cut_argument + 1) ||
+         (to == net->cut_argument && from == net->cut_argument + 1);
+}
+
+static void
+assert_all_alive (const MnNet *net)
+{
+  guint i;
+
+  for (i = 0; i < net->count; i++)
+    g_assert_cmpuint (mn_count_views (net, i, WW_MEMBER_ALIVE), ==, net->count - 1);
+}
+
+static guint
+most_dead (const MnNet *net)
+{
+  guint i, most = 0;
+
+  for (i = 0; i < net->count; i++)
+    most = MAX (most, net->nodes[i].most_dead);
+  return most;
+}
+
+/* Guards against groups that do not find each other again after a cut. */
+static void
+check_cut (gboolean (*cut) (MnNet *net, guint from, guint to), guint32 seed)
+{
+  g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, seed);
+  guint i;
+
+  mn_start_all (net);
+  mn_run (net, 3 * WB_US_PER_S);
+  net->cut = cut;
+  net->cut_argument = 16;
+  mn_run (net, 60 * WB_US_PER_S);
+  for (i = 0; i < net->count; i++)
+    g_assert_cmpuint (wm_node_count (net->nodes[i].core, WW_MEMBER_DEAD), ==, i < 16 ? 24 : 16);
+  net->cut = NULL;
+  mn_run (net, 30 * WB_US_PER_S);
+  assert_all_alive (net);
+}
+
+static void
+test_full_cut (void)
+{
+  check_cut (cut_groups, 4);
+}
+
+static void
+test_one_way_cut (void)
+{
+  check_cut (cut_one_way, 5);
+}
+
+/* Guards against a resumed node that stays dead for the others, or that takes the others for dead
+ * because its probes ran out while it was paused. */
+static void
+test_pause (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, 6);
+  guint64 before;
+  guint i;
+
+  mn_start_all (net);
+  mn_run (net, 3 * WB_US_PER_S);
+  before = wm_self (net->nodes[9].core)->info.incarnation;
+  mn_pause (net, 9);
+  mn_run (net, 10 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_views (net, 9, WW_MEMBER_DEAD), ==, net->count - 1);
+  mn_unpause (net, 9);
+  mn_run (net, 5 * WB_US_PER_S);
+  assert_all_alive (net);
+  g_assert_cmpuint (wm_self (net->nodes[9].core)->info.incarnation, >, before);
+  g_assert_cmpuint (net->nodes[9].most_dead, ==, 0);
+  for (i = 0; i < net->count; i++)
+    g_assert_cmpuint (net->nodes[i].most_dead, <=, 1);
+}
+
+/* Guards against R6: a node that alone cannot reach another, or anybody, gets nobody declared dead.
+ */
+static void
+test_lone_report (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, 7);
+
+  mn_start_all (net);
+  mn_run (net, 3 * WB_US_PER_S);
+  net->cut = cut_pair;
+  net->cut_argument = 12;
+  mn_run (net, 30 * WB_US_PER_S);
+  g_assert_cmpuint (most_dead (net), ==, 0);
+}
+
+/* What R6 prevents: with a single reporter a node that hears nobody declares others dead. */
+static void
+test_deaf_node (void)
+{
+  guint reporters;
+
+  for (reporters = 1; reporters <= WM_REPORTERS; reporters++)
+    {
+      g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, 8);
+
+      net->required_reporters = reporters;
+      mn_start_all (net);
+      mn_run (net, 3 * WB_US_PER_S);
+      net->cut = cut_inbound;
+      net->cut_argument = 12;
+      mn_run (net, 10 * WB_US_PER_S);
+      if (reporters == 1)
+        g_assert_cmpuint (net->nodes[12].most_dead, >, 0);
+      else
+        g_assert_cmpuint (net->nodes[12].most_dead, ==, 0);
+    }
+}
+
+/* Guards against restarts that take others for dead, and against restarted processes that keep an
+ * incarnation under which peers hold state of the old process. */
+static void
+test_rolling_restart (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, 9);
+  guint i;
+
+  mn_start_all (net);
+  mn_run (net, 3 * WB_US_PER_S);
+  for (i = 0; i < net->count; i++)
+    {
+      guint64 epoch = wm_incarnation_epoch (wm_self (net->nodes[i].core)->info.incarnation);
+
+      wm_node_set_draining (net->nodes[i].core, TRUE, net->now_us);
+      mn_run (net, WB_US_PER_S);
+      wm_node_leave (net->nodes[i].core, net->now_us);
+      mn_run (net, WB_US_PER_S / 10);
+      mn_kill (net, i);
+      mn_run (net, WB_US_PER_S);
+      mn_start (net, i);
+      mn_run (net, 2 * WB_US_PER_S);
+      g_assert_true (wm_node_ready (net->nodes[i].core));
+      g_assert_cmpuint (wm_incarnation_epoch (wm_self (net->nodes[i].core)->info.incarnation), >,
+                        epoch);
+    }
+  mn_run (net, 5 * WB_US_PER_S);
+  assert_all_alive (net);
+  g_assert_cmpuint (most_dead (net), ==, 0);
+}
+
+/* Guards against R5: a configuration that reverts when a stale peer comes back or a node restarts.
+ */
+static void
+test_config_newest (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, 10);
+  g_autoptr (GHashTable) parts = NULL;
+  g_autoptr (GBytes) root = mn_config (30, 1, 0, &parts);
+  g_autoptr (GHashTable) parts2 = NULL;
+  g_autoptr (GBytes) root2 = mn_config (30, 2, 1, &parts2);
+  guint i;
+
+  mn_start_all (net);
+  for (i = 0; i < net->count; i++)
+    mn_offer (net, i, 1, root, parts);
+  mn_run (net, 2 * WB_US_PER_S);
+  mn_pause (net, 11);
+  mn_offer (net, 0, 2, root2, parts2);
+  mn_run (net, 10 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_applied (net, 2), ==, net->count - 1);
+  mn_start (net, 20);
+  mn_unpause (net, 11);
+  mn_offer (net, 0, 1, root, parts);
+  while (!wm_node_ready (net->nodes[20].core))
+    mn_run (net, 100 * WB_US_PER_MS);
+  g_assert_cmpuint (net->nodes[20].applied, ==, 2);
+  mn_run (net, 5 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_applied (net, 2), ==, net->count);
+  for (i = 0; i < net->count; i++)
+    g_assert_false (net->nodes[i].reverted);
+}
+
+/* Guards against a part that does not match its hash. */
+static void
+test_config_bad_part (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (10, 2, 4, 2, 11);
+  g_autoptr (GHashTable) parts = NULL;
+  g_autoptr (GBytes) root = mn_config (3, 1, 0, &parts);
+  g_autoptr (GBytes) wrong = g_bytes_new_static ("wrong", 5);
+  GList *keys = g_hash_table_get_keys (parts);
+
+  mn_start_all (net);
+  g_hash_table_insert (parts, g_strdup (keys->data), g_bytes_ref (wrong));
+  g_list_free (keys);
+  mn_offer (net, 0, 1, root, parts);
+  mn_run (net, 2 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_applied (net, 1), ==, 0);
+}
+
+/* Guards against false deaths, and against state that lost, repeated or reordered datagrams spoil.
+ */
+static void
+test_bad_network (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (60, 8, 4, 4, 12);
+  g_autoptr (GHashTable) parts = NULL;
+  g_autoptr (GBytes) root = mn_config (30, 1, 0, &parts);
+  g_autoptr (GHashTable) parts2 = NULL;
+  g_autoptr (GBytes) root2 = mn_config (30, 2, 1, &parts2);
+  guint i;
+
+  net->loss = 0.05;
+  net->repeat = 0.1;
+  net->jitter_us = 30 * WB_US_PER_MS;
+  mn_start_all (net);
+  for (i = 0; i < net->count; i++)
+    mn_offer (net, i, 1, root, parts);
+  mn_run (net, 5 * WB_US_PER_S);
+  mn_offer (net, 0, 2, root2, parts2);
+  mn_run (net, 60 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_applied (net, 2), ==, net->count);
+  g_assert_cmpuint (most_dead (net), ==, 0);
+  mn_kill (net, 30);
+  mn_run (net, 8 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_views (net, 30, WW_MEMBER_DEAD), ==, net->count - 1);
+}
+
+/* Guards against members that all ask the only holder of a first configuration and get nowhere. */
+static void
+test_config_first (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (60, 8, 4, 4, 18);
+  g_autoptr (GHashTable) parts = NULL;
+  g_autoptr (GBytes) root = mn_config (30, 1, 0, &parts);
+
+  mn_start_all (net);
+  mn_run (net, 5 * WB_US_PER_S);
+  mn_offer (net, 0, 1, root, parts);
+  mn_run (net, 120 * WB_US_PER_S);
+  g_assert_cmpuint (mn_count_applied (net, 1), ==, net->count);
+}
+
+/* Guards against more control traffic than 2 KB/s, here when a quarter of the members fails. */
+static void
+test_budget (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (200, 20, 4, 4, 13);
+  guint64 before[200] = { 0 };
+  guint i, minute;
+
+  mn_start_all (net);
+  for (i = 1; i < net->count; i += 4)
+    mn_kill (net, i);
+  for (minute = 0; minute < 2; minute++)
+    {
+      mn_run (net, 60 * WB_US_PER_S);
+      for (i = 0; i < net->count; i += 2)
+        {
+          const WbCounters *counters = wm_node_counters (net->nodes[i].core);
+          guint64 sent = wb_counters_get (counters, WM_COUNTER_SENT_BYTES);
+
+          g_assert_cmpuint (sent - before[i], <=, BUDGET_BYTES_PER_MINUTE);
+          before[i] = sent;
+        }
+    }
+}
+
+/* Guards against a lost availability zone that is not ranked last, one that stays last when it is
+ * back, and single failures that are taken for a lost zone. */
+static void
+test_zone (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (120, 12, 4, 4, 14);
+  guint i;
+
+  mn_start_all (net);
+  mn_run (net, 3 * WB_US_PER_S);
+  mn_kill (net, 100);
+  mn_run (net, 6 * WB_US_PER_S);
+  for (i = 0; i < 12; i++)
+    g_assert_false (wm_node_zone_lost (net->nodes[i].core, 1));
+  for (i = 1; i < net->count; i += 4)
+    mn_pause (net, i);
+  mn_run (net, 5 * WB_US_PER_S);
+  for (i = 0; i < 12; i++)
+    if (i % 4 != 1)
+      {
+        g_assert_true (wm_node_zone_lost (net->nodes[i].core, 2));
+        g_assert_false (wm_node_zone_lost (net->nodes[i].core, 1));
+      }
+  for (i = 1; i < net->count; i += 4)
+    mn_unpause (net, i);
+  mn_run (net, 10 * WB_US_PER_S);
+  for (i = 0; i < 12; i++)
+    g_assert_false (wm_node_zone_lost (net->nodes[i].core, 2));
+}
+
+/* Guards against more or fewer watchers than 3, also after one of them is gone. */
+static void
+test_watchers (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (40, 8, 4, 4, 15);
+  guint round, i;
+
+  mn_start_all (net);
+  for (round = 0; round < 3; round++)
+    {
+      guint count = 0, last = 0;
+
+      mn_run (net, 8 * WB_US_PER_S);
+      for (i = 0; i < net->count; i++)
+        if (net->nodes[i].core != NULL && wm_node_is_watcher (net->nodes[i].core))
+          {
+            count++;
+            last = i;
+          }
+      g_assert_cmpuint (count, ==, 3);
+      g_assert_cmpuint (last, <, 8);
+      mn_kill (net, last);
+    }
+}
+
+/* Guards against R4: a datagram from an address of no member has an effect. */
+static void
+test_unknown_sender (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (10, 2, 4, 2, 16);
+  WmNode *core;
+  ww_gossip_item item = { .kind = WW_GOSSIP_STATE };
+  ww_gossip gossip = { .sender_id = 77, .items = { .items_len = 1, .items_val = &item } };
+  WwCall call = { .xid = 1, .procedure = WW_PROC_GOSSIP };
+  g_autoptr (GByteArray) bytes = NULL;
+
+  mn_start_all (net);
+  core = net->nodes[0].core;
+  item.ww_gossip_item_u.state = (ww_gossip_state){ .id = mn_id (net, 5),
+                                                   .incarnation = G_MAXUINT64,
+                                                   .reporter_id = mn_id (net, 6),
+                                                   .second_id = mn_id (net, 7),
+                                                   .state = WW_MEMBER_DEAD,
+                                                   .age_ms = 60000 };
+  bytes = ww_call_encode (&call, (xdrproc_t) xdr_ww_gossip, &gossip, NULL);
+  g_assert_true (wm_node_receive (core, 0x01020304, 7000, bytes->data, bytes->len, net->now_us));
+  g_assert_cmpint (mn_state (net, 0, 5), ==, WW_MEMBER_ALIVE);
+  g_assert_false (wm_node_is_member (core, 0x01020304));
+  g_assert_true (wm_node_is_member (core, net->nodes[6].settings.address));
+}
+
+/* Guards against a difference that does not lead back to the target, or that reads or writes out of
+ * bounds when it is damaged. */
+static void
+test_delta (void)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (17);
+  guint round;
+
+  for (round = 0; round < 500; round++)
+    {
+      gsize length = (gsize) g_rand_int_range (random, 0, 4000);
+      g_autofree guint8 *data = g_malloc0 (length + 1);
+      g_autoptr (GBytes) base = NULL;
+      g_autoptr (GBytes) target = NULL;
+      g_autoptr (GBytes) delta = NULL;
+      g_autoptr (GBytes) back = NULL;
+      g_autoptr (GBytes) damaged = NULL;
+      g_autoptr (GBytes) other = NULL;
+      g_autofree guint8 *copy = NULL;
+      gsize i;
+
+      for (i = 0; i < length; i++)
+        data[i] = (guint8) g_rand_int_range (random, 0, 3);
+      base = g_bytes_new (data, length);
+      for (i = 0; i < length; i += 1 + (gsize) g_rand_int_range (random, 0, 2000))
+        data[i] ^= 0xff;
+      target = g_bytes_new (data + length / 10, length - length / 10);
+      delta = wm_delta_encode (base, target);
+      back = wm_delta_apply (base, delta, 4000);
+      g_assert_nonnull (back);
+      g_assert_true (g_bytes_equal (back, target));
+      copy = g_memdup2 (g_bytes_get_data (delta, NULL), g_bytes_get_size (delta));
+      copy[g_rand_int_range (random, 0, (gint32) g_bytes_get_size (delta))] ^= 0x55;
+      damaged = g_bytes_new (copy, g_bytes_get_size (delta));
+      other = wm_delta_apply (base, damaged, 4000);
+      g_assert_true (other == NULL || g_bytes_get_size (other) <= 4000);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/member/join", test_join);
   g_test_add_func ("/member/death", test_death);
+  g_test_add_func ("/member/full-cut", test_full_cut);
+  g_test_add_func ("/member/one-way-cut", test_one_way_cut);
+  g_test_add_func ("/member/pause", test_pause);
+  g_test_add_func ("/member/lone-report", test_lone_report);
+  g_test_add_func ("/member/deaf-node", test_deaf_node);
+  g_test_add_func ("/member/rolling-restart", test_rolling_restart);
+  g_test_add_func ("/member/bad-network", test_bad_network);
+  g_test_add_func ("/member/budget", test_budget);
+  g_test_add_func ("/member/zone", test_zone);
+  g_test_add_func ("/member/watchers", test_watchers);
+  g_test_add_func ("/member/unknown-sender", test_unknown_sender);
+  g_test_add_func ("/member/delta", test_delta);
   g_test_add_func ("/member/config", test_config);
+  g_test_add_func ("/member/config-first", test_config_first);
+  g_test_add_func ("/member/config-newest", test_config_newest);
+  g_test_add_func ("/member/config-bad-part", test_config_bad_part);
   return g_test_run ();
 }
--- a/wire/ww-proto.h
+++ b/wire/ww-proto.h
@@ -213,6 +213,7 @@
 	u_quad_t sender_id;
 	u_quad_t incarnation;
 	ww_config_id config;
+	u_int members;
 	struct {
 		u_int items_len;
 		ww_gossip_item *items_val;
--- a/wire/ww-proto.x
+++ b/wire/ww-proto.x
@@ -193,6 +193,7 @@
   unsigned hyper sender_id;
   unsigned hyper incarnation;
   ww_config_id config;
+  unsigned members;
   ww_gossip_item items<WW_MAX_GOSSIP_ITEMS>;
 };
 
