--- a/member/wm-gossip.c
+++ b/member/wm-gossip.c
@@ -4,6 +4,11 @@
 #define STATE_ITEM_BYTES 44
 #define ZONE_ITEM_BYTES 24
 #define PUSH_ZONE_ITEMS 4
+/* The suspicions of a failed rack still go out at once. With no limit, the loss of 200 of 800
+ * members used up the budget within 0.5 s and held up the evidence on the zone. */
+#define PUSH_MAX_SUSPECTS 24
+/* Evidence in each message while a zone is unreachable. */
+#define ZONE_ITEMS 3
 /* A push to 4 members takes at most about half of what is left. */
 #define PUSH_SHARE 8
 
@@ -70,9 +75,10 @@
   guint i;
 
   add_news (node, WW_GOSSIP_MEMBER, id, 0);
-  /* A lost availability zone would take the whole budget for single members. */
+  /* The members of a lost availability zone would take the whole budget. */
   if (row != NULL && row->info.state != WW_MEMBER_ALIVE &&
-      wm_zone_has_evidence (node, row->info.zone))
+      (node->in_state[WW_MEMBER_SUSPECT] > PUSH_MAX_SUSPECTS ||
+       wm_zone_has_evidence (node, row->info.zone)))
     return;
   for (i = 0; i < node->push->len; i++)
     if (g_array_index (node->push, guint64, i) == id)
@@ -185,6 +191,7 @@
 
   fill_header (node, gossip, items);
   fill_subject (node, gossip, subject, incarnation);
+  gossip->items.items_len += wm_zone_fill (node, items + gossip->items.items_len, ZONE_ITEMS);
   while (turns-- > 0 && gossip->items.items_len < WW_MAX_GOSSIP_ITEMS)
     {
       GList *link = node->news.head;
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -403,6 +403,7 @@
 void wm_zone_apply (WmNode *node, const ww_zone_evidence *evidence);
 gboolean
 wm_zone_item (const WmNode *node, guint32 zone, guint64 reporter, ww_zone_evidence *evidence);
+guint wm_zone_fill (WmNode *node, ww_gossip_item *items, guint max);
 gboolean wm_zone_has_evidence (const WmNode *node, guint32 zone);
 
 /* wm-join.c */
--- a/member/wm-zone.c
+++ b/member/wm-zone.c
@@ -146,6 +146,33 @@
   return FALSE;
 }
 
+/* Random reports on zones that this node does not reach either. They go ahead of other items, which
+ * are many when a zone is lost. */
+guint
+wm_zone_fill (WmNode *node, ww_gossip_item *items, guint max)
+{
+  guint count = 0;
+  guint i, j;
+
+  for (i = 0; i < node->zones->len && count < max; i++)
+    {
+      const WmZone *zone = &g_array_index (node->zones, WmZone, i);
+      guint first;
+
+      if (zone->n_reporters == 0 || zone->n_failed == 0)
+        continue;
+      first = (guint) g_rand_int_range (node->random, 0, (gint32) zone->n_reporters);
+      for (j = 0; j < zone->n_reporters && count < max; j++)
+        {
+          guint64 id = zone->reporters[(first + j) % zone->n_reporters].id;
+
+          items[count].kind = WW_GOSSIP_ZONE;
+          count += wm_zone_item (node, zone->zone, id, &items[count].ww_gossip_item_u.zone);
+        }
+    }
+  return count;
+}
+
 /* Enough reporters in enough other zones. */
 gboolean
 wm_zone_has_evidence (const WmNode *node, guint32 zone)
