Check the agent core with random schedules and fix what they found

A seeded schedule of clients, loss, duplicates, reordering, joins, drains, agent restarts, pauses and configurations runs against an oracle in the test network.

Causes fixed: a sole draining endpoint placed no flow; an acknowledgement with a number after queued payload made that payload look delivered; the same for a FIN that overtook it; an initial packet repeated at the end of the deferral period was placed twice; a registration from an endpoint not in the view yet was taken for one of a lost endpoint; packets of a handshake with another server were delivered; old initial packets read after a pause were forwarded along tombstones. In the test network a paused process read its sockets before it noticed the pause, and views went backwards.

Ruled out for the double handshake: resetting the own half-open connection, because an old acknowledgement could then break a live handshake. The packet goes back to the home instead.

--- a/flow/wf-agent.c
+++ b/flow/wf-agent.c
@@ -84,6 +84,7 @@
   agent->registry = wf_table_new (sizeof (WfEntry), g_rand_int (agent->random));
   agent->endpoints = g_array_new (FALSE, FALSE, sizeof (WfEndpoint));
   agent->ids = g_array_new (FALSE, FALSE, sizeof (guint64));
+  agent->lost = g_array_new (FALSE, FALSE, sizeof (guint64));
   agent->order = g_array_new (FALSE, FALSE, sizeof (guint16));
   agent->ranked = g_array_new (FALSE, FALSE, sizeof (WaEndpoint));
   agent->batches = g_ptr_array_new_with_free_func (g_free);
@@ -114,6 +115,7 @@
   wf_table_free (agent->registry);
   g_array_unref (agent->endpoints);
   g_array_unref (agent->ids);
+  g_array_unref (agent->lost);
   g_array_unref (agent->order);
   g_array_unref (agent->ranked);
   g_ptr_array_unref (agent->batches);
@@ -204,6 +206,7 @@
   if (same_view (previous, agent->endpoints))
     return;
   agent->view_us = now_us;
+  wf_view_update_lost (agent, previous);
   wf_register_view_changed (agent, previous);
 }
 
--- a/flow/wf-counter.c
+++ b/flow/wf-counter.c
@@ -31,6 +31,7 @@
   { "flow_hop_limit", "Packets dropped at the hop limit." },
   { "flow_syn_payload", "Initial packets dropped because they carry payload." },
   { "flow_stale_initial", "Initial packets dropped just after a pause." },
+  { "flow_other_handshake", "Packets that acknowledge another server's initial packet." },
   { "flow_queue_expired", "Queued initial packets discarded after a pause." },
   { "flow_outgoing_not_held", "Server packets dropped because their flow is not held here." },
   { "flow_recovery_probes", "Recovery probes sent to the backend server." },
--- a/flow/wf-hold.c
+++ b/flow/wf-hold.c
@@ -4,8 +4,8 @@
 #define PLACING_MAX_US (1 * WB_US_PER_S)
 
 /* Marks a row as a pointer to the endpoint that took the flow over. */
-static void
-leave_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 peer_id)
+void
+wf_hold_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 peer_id)
 {
   wf_flow_clear_queue (agent, flow);
   wf_flow_set_state (agent, flow, WF_FLOW_TOMBSTONE);
@@ -14,11 +14,17 @@
   wf_table_set_due (agent->flows, handle, agent->now_us + WF_TOMBSTONE_US);
 }
 
-static gboolean
-just_resumed (const WfAgent *agent)
+/* Another endpoint that can take new flows, or 0 when there is none. */
+static guint64
+active_endpoint (WfAgent *agent, const WwFlowKey *key)
 {
-  return wf_enabled (agent, WF_DISABLE_JOIN_DEFERRAL) &&
-         agent->now_us - agent->resumed_us < WF_RESUME_SETTLE_US;
+  guint count, i;
+  const WaEndpoint *ranked = wf_view_ranked (agent, key, &count);
+
+  for (i = 0; i < count; i++)
+    if (ranked[i].id != agent->self_id && !ranked[i].draining && !ranked[i].suspected)
+      return ranked[i].id;
+  return 0;
 }
 
 /* Chooses an endpoint for a new flow of which this endpoint is the home. */
@@ -28,13 +34,9 @@
   const WaEndpoint *ranked;
   WbHandle handle;
   WfFlow *flow;
+  gboolean allow_self;
   guint count;
 
-  if (just_resumed (agent))
-    {
-      wf_count (agent, WF_COUNTER_STALE_INITIAL);
-      return;
-    }
   flow = wf_flow_add (agent, &input->key, WF_FLOW_PLACING, &handle);
   if (flow == NULL)
     return;
@@ -46,8 +48,10 @@
       wf_flow_remove (agent, handle);
       return;
     }
+  /* A draining endpoint serves only when every endpoint drains. */
+  allow_self = !agent->draining || active_endpoint (agent, &input->key) == 0;
   ranked = wf_view_ranked (agent, &input->key, &count);
-  wa_admission_place (agent->admission, handle, ranked, count, !agent->draining, agent->now_us);
+  wa_admission_place (agent->admission, handle, ranked, count, allow_self, agent->now_us);
 }
 
 /* The initial packet goes to the server. */
@@ -100,19 +104,6 @@
     }
 }
 
-/* An endpoint that can take new flows, for one that drains; 0 when there is none. */
-static guint64
-other_endpoint (WfAgent *agent, const WfInput *input)
-{
-  guint count, i;
-  const WaEndpoint *ranked = wf_view_ranked (agent, &input->key, &count);
-
-  for (i = 0; i < count; i++)
-    if (ranked[i].id != agent->self_id && !ranked[i].draining && !ranked[i].suspected)
-      return ranked[i].id;
-  return 0;
-}
-
 static gboolean
 hand_over (WfAgent *agent, const WfInput *input)
 {
@@ -122,12 +113,12 @@
 
   if (!agent->draining || !wf_enabled (agent, WF_DISABLE_DRAIN_HANDOVER))
     return FALSE;
-  peer_id = other_endpoint (agent, input);
+  peer_id = active_endpoint (agent, &input->key);
   if (peer_id == 0)
     return FALSE;
   flow = wf_flow_add (agent, &input->key, WF_FLOW_TOMBSTONE, &handle);
   if (flow != NULL)
-    leave_tombstone (agent, flow, handle, peer_id);
+    wf_hold_tombstone (agent, flow, handle, peer_id);
   wf_count (agent, WF_COUNTER_DRAIN_HANDOVER);
   wf_route_forward (agent, input, WW_ENCAP_PLACE, peer_id);
   return TRUE;
@@ -140,11 +131,6 @@
   WbHandle handle;
   WfFlow *flow;
 
-  if (just_resumed (agent))
-    {
-      wf_count (agent, WF_COUNTER_STALE_INITIAL);
-      return;
-    }
   if (hand_over (agent, input))
     return;
   flow = wf_flow_add (agent, &input->key, WF_FLOW_WAITING, &handle);
@@ -217,5 +203,5 @@
     return;
   wf_count (agent, WF_COUNTER_GRANTED);
   wf_route_send_queue (agent, flow, WW_ENCAP_GRANT, endpoint_id, wf_view_home (agent, &flow->key));
-  leave_tombstone (agent, flow, handle, endpoint_id);
+  wf_hold_tombstone (agent, flow, handle, endpoint_id);
 }
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -55,6 +55,7 @@
   WF_COUNTER_HOP_LIMIT,
   WF_COUNTER_SYN_PAYLOAD,
   WF_COUNTER_STALE_INITIAL,
+  WF_COUNTER_OTHER_HANDSHAKE,
   WF_COUNTER_QUEUE_EXPIRED,
   WF_COUNTER_OUTGOING_NOT_HELD,
   WF_COUNTER_RECOVERY_PROBES,
@@ -99,6 +100,8 @@
   WF_FLAG_CLOSED = 1 << 10,
   WF_FLAG_TEXT_SENT = 1 << 11,     /* the refusal was sent */
   WF_FLAG_OWN_HANDSHAKE = 1 << 12, /* the agent completed the handshake */
+  WF_FLAG_DEFERRED = 1 << 14,      /* tombstone: the peer was asked to place the flow */
+  WF_FLAG_CONFIRMED = 1 << 15,     /* the client has acknowledged this server's initial packet */
   WF_FLAG_SAID_HELD = 1 << 13,     /* the home said that the flow is held here */
 };
 
@@ -171,6 +174,7 @@
   WfTable *registry;
   GArray *endpoints; /* of WfEndpoint */
   GArray *ids;       /* of guint64, in the same order */
+  GArray *lost;      /* of guint64: endpoints that left the view */
   GArray *order;     /* of guint16, scratch */
   GArray *ranked;    /* of WaEndpoint, scratch */
   GPtrArray *batches;
@@ -209,6 +213,8 @@
 guint64 wf_view_home (WfAgent *agent, const WwFlowKey *key);
 gboolean wf_view_knows (const WfAgent *agent, guint64 endpoint_id);
 const WaEndpoint *wf_view_ranked (WfAgent *agent, const WwFlowKey *key, guint *count);
+gboolean wf_view_lost (const WfAgent *agent, guint64 endpoint_id);
+void wf_view_update_lost (WfAgent *agent, const GArray *previous);
 guint64 wf_view_next (WfAgent *agent, const WwFlowKey *key);
 
 /* wf-route.c */
@@ -218,10 +224,12 @@
 wf_route_forward (WfAgent *agent, const WfInput *input, ww_encap_kind kind, guint64 endpoint_id);
 void wf_route_send_queue (
     WfAgent *agent, WfFlow *flow, ww_encap_kind kind, guint64 endpoint_id, guint64 home_id);
+void wf_route_not_here (WfAgent *agent, WfInput *input);
 gboolean wf_route_in_service (const WfAgent *agent, const WwFlowKey *key);
 void wf_route_chain (WfAgent *agent, WfInput *input, gboolean probed);
 
 /* wf-hold.c */
+void wf_hold_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 peer_id);
 void wf_hold_place (WfAgent *agent, WfInput *input);
 void wf_hold_take (WfAgent *agent, WfInput *input);
 void wf_hold_place_cb (gpointer context, WbHandle handle, guint64 endpoint_id);
@@ -232,6 +240,7 @@
 /* wf-turn.c */
 void wf_turn_opened (WfAgent *agent, WfFlow *flow, WbHandle handle);
 void wf_turn_from_client (WfAgent *agent, WfFlow *flow, WbHandle handle, const WfInput *input);
+gboolean wf_turn_belongs (WfFlow *flow, const WfInput *input);
 void wf_turn_from_server (WfAgent *agent,
                           WfFlow *flow,
                           WbHandle handle,
--- a/flow/wf-probe.c
+++ b/flow/wf-probe.c
@@ -111,7 +111,7 @@
 {
   wf_count (agent, WF_COUNTER_RECOVERED);
   wf_flow_set_state (agent, flow, WF_FLOW_HELD);
-  flow->flags = WF_FLAG_ANSWERED | WF_FLAG_DELIVERED | WF_FLAG_UNCERTAIN;
+  flow->flags = WF_FLAG_ANSWERED | WF_FLAG_CONFIRMED | WF_FLAG_DELIVERED | WF_FLAG_UNCERTAIN;
   flow->activity_us = agent->now_us;
   flow->peer_id = 0;
   flow->server_next = packet->sequence;
--- a/flow/wf-registry.c
+++ b/flow/wf-registry.c
@@ -52,11 +52,7 @@
   wf_count (agent, WF_COUNTER_R1_RELEASED);
   if (flow->state == WF_FLOW_HELD && flow->key.protocol == WW_PROTOCOL_TCP)
     wf_probe_reset_server (agent, flow);
-  wf_flow_clear_queue (agent, flow);
-  wf_flow_set_state (agent, flow, WF_FLOW_TOMBSTONE);
-  flow->flags = 0;
-  flow->peer_id = holder_id;
-  wf_table_set_due (agent->flows, handle, agent->now_us + WF_TOMBSTONE_US);
+  wf_hold_tombstone (agent, flow, handle, holder_id);
   if (admission)
     wa_admission_remove (agent->admission, handle, agent->now_us);
 }
@@ -92,6 +88,7 @@
       return TRUE;
     case WF_FLOW_TOMBSTONE:
       flow->peer_id = sender_id;
+      flow->flags = 0;
       return TRUE;
     case WF_FLOW_PLACING:
     case WF_FLOW_PROBING:
@@ -130,7 +127,7 @@
       return;
     }
   if (entry->holder_id != sender_id && !entry->provisional &&
-      wf_view_knows (agent, entry->holder_id))
+      !wf_view_lost (agent, entry->holder_id))
     {
       if (!replaces (agent, entry->flags, flags))
         {
--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -95,6 +95,20 @@
   wf_count (agent, WF_COUNTER_CHAIN_END);
 }
 
+/* A packet of a flow whose row here is of another connection of the same 5-tuple. The home forgets
+ * this endpoint as the holder and looks further. */
+void
+wf_route_not_here (WfAgent *agent, WfInput *input)
+{
+  guint64 home_id = wf_view_home (agent, &input->key);
+
+  wf_count (agent, WF_COUNTER_OTHER_HANDSHAKE);
+  if (input->header.kind == WW_ENCAP_CHAIN || home_id == agent->self_id)
+    wf_route_chain (agent, input, TRUE);
+  else
+    wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
+}
+
 /* An endpoint that has just joined does not know the flows of the previous home yet. */
 static gboolean
 defers_placement (const WfAgent *agent)
@@ -103,6 +117,22 @@
          agent->now_us - agent->joined_us < WF_JOIN_DEFERRAL_US;
 }
 
+/* The tombstone sends a repeated initial packet the same way, also when the deferral period ends
+ * in between: otherwise the flow would be placed twice. */
+static void
+defer (WfAgent *agent, const WfInput *input, guint64 next_id)
+{
+  WbHandle handle;
+  WfFlow *flow = wf_flow_add (agent, &input->key, WF_FLOW_TOMBSTONE, &handle);
+
+  if (flow == NULL)
+    return;
+  wf_hold_tombstone (agent, flow, handle, next_id);
+  flow->flags |= WF_FLAG_DEFERRED;
+  wf_count (agent, WF_COUNTER_DEFERRED);
+  wf_route_forward (agent, input, WW_ENCAP_CHAIN, next_id);
+}
+
 static void
 unknown_initial (WfAgent *agent, WfInput *input)
 {
@@ -129,12 +159,9 @@
     }
   next_id = defers_placement (agent) ? wf_view_next (agent, &input->key) : 0;
   if (next_id == 0)
-    {
-      wf_hold_place (agent, input);
-      return;
-    }
-  wf_count (agent, WF_COUNTER_DEFERRED);
-  wf_route_forward (agent, input, WW_ENCAP_CHAIN, next_id);
+    wf_hold_place (agent, input);
+  else
+    defer (agent, input, next_id);
 }
 
 static void
@@ -172,7 +199,7 @@
       wf_table_remove (agent->registry, handle);
       return 0;
     }
-  if (wf_view_knows (agent, entry->holder_id))
+  if (!wf_view_lost (agent, entry->holder_id))
     return entry->holder_id;
   if (is_initial (input))
     wf_table_remove (agent->registry, handle);
@@ -211,14 +238,17 @@
   gboolean granted_back =
       input->header.kind == WW_ENCAP_GRANT && input->header.sender_id == peer_id;
 
-  if (granted_back || (is_initial (input) && !wf_view_knows (agent, peer_id)))
+  if (granted_back || (is_initial (input) && wf_view_lost (agent, peer_id)))
     {
       wf_flow_remove (agent, handle);
       wf_route_unknown (agent, input);
       return;
     }
   wf_count (agent, WF_COUNTER_FORWARDED_HOLDER);
-  wf_route_forward (agent, input, WW_ENCAP_TO_HOLDER, peer_id);
+  wf_route_forward (agent, input,
+                    is_initial (input) && (flow->flags & WF_FLAG_DEFERRED) ? WW_ENCAP_CHAIN
+                                                                           : WW_ENCAP_TO_HOLDER,
+                    peer_id);
 }
 
 /* A client that gives up while its initial packet waits frees its place. */
@@ -249,7 +279,9 @@
     {
     case WF_FLOW_HELD:
       restart = is_new_connection (flow, input);
-      if (!restart)
+      if (!restart && !wf_turn_belongs (flow, input))
+        wf_route_not_here (agent, input);
+      else if (!restart)
         wf_turn_from_client (agent, flow, handle, input);
       break;
     case WF_FLOW_PLACING:
@@ -281,6 +313,15 @@
   wf_route_unknown (agent, input);
 }
 
+/* Initial packets read just after a pause may have waited in the socket buffer. The client has
+ * sent them again meanwhile, and may have been served or refused elsewhere. */
+static gboolean
+just_resumed (const WfAgent *agent)
+{
+  return wf_enabled (agent, WF_DISABLE_JOIN_DEFERRAL) &&
+         agent->now_us - agent->resumed_us < WF_RESUME_SETTLE_US;
+}
+
 void
 wf_route_receive (WfAgent *agent, const guint8 *data, gsize length)
 {
@@ -310,6 +351,11 @@
       return;
     }
   input.header.hops = MIN (input.header.hops, WW_MAX_HOPS);
+  if (is_initial (&input) && just_resumed (agent))
+    {
+      wf_count (agent, WF_COUNTER_STALE_INITIAL);
+      return;
+    }
   flow = wf_table_find (agent->flows, &input.key, &handle);
   if (flow != NULL)
     to_known (agent, flow, handle, &input);
--- a/flow/wf-turn.c
+++ b/flow/wf-turn.c
@@ -129,7 +129,8 @@
         flow->client_next = flow->server_ack = end;
       return;
     }
-  if (wf_seq_diff (end, flow->client_next) > 0)
+  /* An acknowledgement may carry the number after payload that is still on its way or queued. */
+  if (end != packet->sequence && wf_seq_diff (end, flow->client_next) > 0)
     flow->client_next = end;
 }
 
@@ -157,6 +158,34 @@
     request_done (agent, flow, handle);
 }
 
+/* Whether a packet from the client can belong to the connection that this server has. A client that
+ * completed the handshake with another endpoint's server acknowledges a different number. */
+gboolean
+wf_turn_belongs (WfFlow *flow, const WfInput *input)
+{
+  const WwPacket *packet = &input->packet;
+
+  if ((flow->flags & WF_FLAG_CONFIRMED) || input->status != WW_PACKET_OK ||
+      flow->key.protocol != WW_PROTOCOL_TCP ||
+      (packet->tcp_flags & (WW_TCP_ACK | WW_TCP_RST)) != WW_TCP_ACK)
+    return TRUE;
+  if ((flow->flags & WF_FLAG_ANSWERED) == 0 ||
+      wf_seq_diff (packet->acknowledgment, flow->client_ack) <= 0 ||
+      wf_seq_diff (packet->acknowledgment, flow->server_next) > 0)
+    return FALSE;
+  flow->flags |= WF_FLAG_CONFIRMED;
+  return TRUE;
+}
+
+/* A FIN that overtook the first payload of a request would make that payload look delivered. The
+ * client sends it again. */
+static gboolean
+is_early_fin (const WfFlow *flow, const WwPacket *packet)
+{
+  return (packet->tcp_flags & WW_TCP_FIN) && packet->payload_length == 0 &&
+         wf_seq_diff (packet->sequence, flow->client_next) > 0;
+}
+
 void
 wf_turn_from_client (WfAgent *agent, WfFlow *flow, WbHandle handle, const WfInput *input)
 {
@@ -189,6 +218,8 @@
           return;
         }
     }
+  else if ((flow->flags & (WF_FLAG_REQUEST | WF_FLAG_CLOSED)) == 0 && is_early_fin (flow, packet))
+    return;
   else if ((flow->flags & (WF_FLAG_REQUEST | WF_FLAG_CLOSED)) == 0 &&
            has_new_payload (flow, packet) && !start_request (agent, flow, handle, input))
     return;
--- a/flow/wf-view.c
+++ b/flow/wf-view.c
@@ -1,5 +1,7 @@
 #include "wf-private.h"
 
+#define LOST_MAX 256
+
 /* Ranks the endpoints for @key; @own is the position of the own endpoint. */
 guint
 wf_view_rank (WfAgent *agent, const WwFlowKey *key, guint16 **order, guint *own)
@@ -69,3 +71,37 @@
     return 0;
   return g_array_index (agent->ids, guint64, order[own + 1]);
 }
+
+/* Whether the endpoint was in the view and is no longer. One that is not in the view yet, and whose
+ * registration came before the news of its join, does not count as lost. */
+gboolean
+wf_view_lost (const WfAgent *agent, guint64 endpoint_id)
+{
+  guint i;
+
+  for (i = 0; i < agent->lost->len; i++)
+    if (g_array_index (agent->lost, guint64, i) == endpoint_id)
+      return TRUE;
+  return FALSE;
+}
+
+/* Keeps the ids of endpoints that left the view, the newest LOST_MAX of them. */
+void
+wf_view_update_lost (WfAgent *agent, const GArray *previous)
+{
+  guint i;
+
+  for (i = agent->lost->len; i > 0; i--)
+    if (wf_view_knows (agent, g_array_index (agent->lost, guint64, i - 1)))
+      g_array_remove_index (agent->lost, i - 1);
+  for (i = 0; i < previous->len; i++)
+    {
+      guint64 id = g_array_index (previous, WfEndpoint, i).id;
+
+      if (wf_view_knows (agent, id))
+        continue;
+      if (agent->lost->len == LOST_MAX)
+        g_array_remove_index (agent->lost, 0);
+      g_array_append_val (agent->lost, id);
+    }
+}
--- a/tests/flow-world.c
+++ b/tests/flow-world.c
@@ -8,6 +8,7 @@
 {
   gint64 due_us;
   guint64 number;
+  guint64 published; /* number of the event when it was first posted */
   FwEventKind kind;
   guint target;
   GBytes *data;
@@ -39,7 +40,7 @@
   Event *event = g_new0 (Event, 1);
 
   event->due_us = world->now_us + delay_us;
-  event->number = world->next_event++;
+  event->number = event->published = world->next_event++;
   event->kind = kind;
   event->target = target;
   event->data = data;
@@ -282,6 +283,7 @@
   world->now_us = 1000 * WB_US_PER_S;
   world->configs = g_ptr_array_new_with_free_func ((GDestroyNotify) wc_config_unref);
   world->faults = g_string_new (NULL);
+  world->trace = -1;
   world->options = wf_options_default ();
   for (i = 0; i < FW_BALANCERS; i++)
     world->balancers[i] = wl_balancer_new (1000 + i, &callbacks);
@@ -323,7 +325,13 @@
   WfEndpoint endpoints[FW_AGENTS];
   WlEndpoint targets[FW_AGENTS];
   guint n_endpoints = 0, n_targets = 0, i;
+  guint64 *newest = event->kind == VIEW_AGENT ? &world->agents[event->target].view_number
+                                              : &world->balancer_views[event->target];
 
+  /* Membership never goes back to an older state of a member. */
+  if (event->published < *newest)
+    return;
+  *newest = event->published;
   for (i = 0; i < count; i++)
     {
       if (!members[i].member)
@@ -357,30 +365,73 @@
       MAX (world->agents[event->target].config_version, version);
 }
 
+/* The agent notices after its wait that the clock has jumped, before it reads its sockets. */
+static void
+resume (FwWorld *world, guint index)
+{
+  FwAgent *agent = &world->agents[index];
+
+  if (agent->paused_until_us == 0 || agent->paused_until_us > world->now_us)
+    return;
+  agent->paused_until_us = 0;
+  agent->incarnation++;
+  wf_agent_resumed (agent->agent, world->now_us);
+}
+
 /* An event for a paused agent waits in the socket buffer. Returns whether it does. */
 static gboolean
-held_back (FwWorld *world, const Event *event)
+held_back (FwWorld *world, Event *event)
 {
   gint64 until_us;
 
   if (event->kind == TO_BALANCER || event->kind == TO_SERVER || event->kind == TO_CLIENT ||
       event->kind == VIEW_BALANCER || event->kind == CONFIG_BALANCER)
     return FALSE;
+  resume (world, event->target);
   until_us = world->agents[event->target].paused_until_us;
   if (until_us <= world->now_us)
     return FALSE;
-  fw_post (world, event->kind, event->target, g_bytes_ref (event->data), until_us - world->now_us);
+  event->due_us = until_us;
   return TRUE;
 }
 
+/* Prints what happens to the packets of one client, to explain a fault. */
 static void
-dispatch (FwWorld *world, const Event *event)
+trace (const FwWorld *world, const Event *event)
 {
+  static const gchar *const names[] = { "agent",         "balancer",     "server",
+                                        "from server",   "client",       "agent view",
+                                        "balancer view", "agent config", "balancer config" };
   gsize length;
   const guint8 *data = g_bytes_get_data (event->data, &length);
+  ww_encap header = { 0 };
+  WwPacket packet;
 
-  if (held_back (world, event))
+  if (world->trace < 0)
     return;
+  if (event->kind < VIEW_AGENT && event->kind == TO_AGENT &&
+      !ww_encap_parse (data, length, &header, &data, &length))
+    return;
+  if (event->kind < VIEW_AGENT && (ww_packet_parse (data, length, &packet) != WW_PACKET_OK ||
+                                   ((packet.source_address & 0xff) != (guint) world->trace &&
+                                    (packet.destination_address & 0xff) != (guint) world->trace)))
+    return;
+  g_printerr ("%.4f %s %u", (gdouble) world->now_us / WB_US_PER_S, names[event->kind],
+              event->target);
+  if (event->kind < VIEW_AGENT)
+    g_printerr (" kind %d hops %u flags %02x seq %u ack %u length %zu", (gint) header.kind,
+                header.hops, packet.tcp_flags, packet.sequence, packet.acknowledgment,
+                packet.payload_length);
+  g_printerr ("\n");
+}
+
+static void
+dispatch (FwWorld *world, const Event *event)
+{
+  gsize length;
+  const guint8 *data = g_bytes_get_data (event->data, &length);
+
+  trace (world, event);
   switch (event->kind)
     {
     case TO_AGENT:
@@ -423,12 +474,7 @@
     {
       FwAgent *agent = &world->agents[i];
 
-      if (agent->paused_until_us != 0 && agent->paused_until_us <= world->now_us)
-        {
-          agent->paused_until_us = 0;
-          agent->incarnation++;
-          wf_agent_resumed (agent->agent, world->now_us);
-        }
+      resume (world, i);
       if (agent->paused_until_us != 0)
         next_us = MIN (next_us, agent->paused_until_us);
       else
@@ -481,6 +527,11 @@
 
           if (event->due_us > world->now_us)
             break;
+          if (held_back (world, event))
+            {
+              g_sequence_sort_changed (head, compare_events, NULL);
+              continue;
+            }
           dispatch (world, event);
           g_sequence_remove (head);
         }
--- a/tests/flow-world.h
+++ b/tests/flow-world.h
@@ -38,6 +38,7 @@
   gboolean draining;
   gboolean server_silent; /* the server's packets are lost */
   gint64 paused_until_us;
+  guint64 view_number;    /* of the newest view applied */
   guint64 config_version; /* newest version accepted */
   guint64 requests;
   guint64 initials; /* initial packets that reached the server */
@@ -80,6 +81,7 @@
   FwSlot slots[FW_AGENTS];
   guint n_agents;
   WlBalancer *balancers[FW_BALANCERS];
+  guint64 balancer_views[FW_BALANCERS];
   FwClient clients[FW_CLIENTS];
   guint n_clients;
   GPtrArray *configs; /* of WcConfig, by version - 1 */
@@ -88,6 +90,7 @@
   gdouble duplicate;
   gint64 jitter_us;
   GString *faults;
+  gint trace; /* client whose packets are printed, or -1 */
   guint udp_answers;
 };
 
