Decode a changed configuration without parsing unchanged parts

Cause: a daemon that decodes 2,000 services on each change stops its event loop for more than 100 ms. A command with a short time-out still waited 5 s for a platform that does not answer.

Change: WcDecoder keeps the parsed parts of the last version and hashes and parses only those that changed; validation still covers the whole. Commands bound each call by their time-out and refuse a URL that is not http or https.

Ruled out: a cache of built services; building takes about 14 ms of the rest, and the checks for duplicates need all services anyway.

Conclusion: daemons should hold one WcDecoder instead of calling wc_parts_decode().

--- a/config/wc-build.c
+++ b/config/wc-build.c
@@ -50,7 +50,12 @@
       g_hash_table_insert (seen, g_memdup2 (&value, sizeof value), (gpointer) node);
       return TRUE;
     }
-  if (first->line > 0)
+  /* Two names may have the same id, which is rare but must not pass. */
+  if (strcmp (first->text, node->text) != 0)
+    wc_reader_problem (self->reader, node, key, WC_ERROR_DUPLICATE,
+                       "\"%s\" cannot be told from \"%s\" at %s:%u; choose another", node->text,
+                       first->text, first->file, first->line);
+  else if (first->line > 0)
     wc_reader_problem (self->reader, node, key, WC_ERROR_DUPLICATE,
                        "\"%s\" is used already at %s:%u", node->text, first->file, first->line);
   else
--- a/config/wc-json.c
+++ b/config/wc-json.c
@@ -116,3 +116,20 @@
     }
   return convert_object (NULL, json_node_get_object (root), file);
 }
+
+WcNode *
+wc_json_parse_bytes (const gchar *name, GBytes *bytes, gsize maximum_bytes, GError **error)
+{
+  gsize length;
+  const gchar *text = g_bytes_get_data (bytes, &length);
+  gchar *file = g_ref_string_new (name);
+  WcNode *document = NULL;
+
+  if (length > maximum_bytes)
+    g_set_error (error, WC_ERROR, WC_ERROR_TOO_LARGE, "%s: more than %" G_GSIZE_FORMAT " bytes",
+                 name, maximum_bytes);
+  else
+    document = wc_json_parse (file, text, length, error);
+  g_ref_string_release (file);
+  return document;
+}
--- a/config/wc-node.h
+++ b/config/wc-node.h
@@ -62,6 +62,12 @@
  */
 WcNode *wc_json_parse (gchar *file, const gchar *text, gsize length, GError **error);
 
+/**
+ * wc_json_parse_bytes() - like wc_json_parse() for an object from the network
+ * @error: WC_ERROR_SYNTAX, WC_ERROR_TOO_LARGE
+ */
+WcNode *wc_json_parse_bytes (const gchar *name, GBytes *bytes, gsize maximum_bytes, GError **error);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcNode, wc_node_free)
 
 G_END_DECLS
--- a/config/wc-parts.c
+++ b/config/wc-parts.c
@@ -419,27 +419,11 @@
     }
 }
 
-static WcNode *
-parse_bytes (const gchar *name, GBytes *bytes, GError **error)
-{
-  gsize length;
-  const gchar *text = g_bytes_get_data (bytes, &length);
-  gchar *file = g_ref_string_new (name);
-  WcNode *document = NULL;
-
-  if (length > WC_PART_MAX_BYTES)
-    g_set_error (error, WC_ERROR, WC_ERROR_TOO_LARGE, "%s: more than %d bytes", name,
-                 WC_PART_MAX_BYTES);
-  else
-    document = wc_json_parse (file, text, length, error);
-  g_ref_string_release (file);
-  return document;
-}
-
 WcRoot *
 wc_root_parse (GBytes *bytes, GError **error)
 {
-  g_autoptr (WcNode) document = parse_bytes ("root object", bytes, error);
+  g_autoptr (WcNode) document =
+      wc_json_parse_bytes ("root object", bytes, WC_PART_MAX_BYTES, error);
   WcRoot *root;
   WcReader reader;
 
@@ -482,55 +466,3 @@
     }
   return missing;
 }
-
-static WcNode *
-parse_part (const gchar *hash, GHashTable *parts, GError **error)
-{
-  g_autofree gchar *name = g_strdup_printf ("part %.12s", hash);
-  GBytes *body = g_hash_table_lookup (parts, hash);
-  g_autofree gchar *actual = body != NULL ? wc_part_hash (body) : NULL;
-
-  if (g_strcmp0 (actual, hash) == 0)
-    return parse_bytes (name, body, error);
-  g_set_error (error, WC_ERROR, WC_ERROR_PART, "%s: %s", name,
-               body == NULL ? "missing" : "does not match its hash");
-  return NULL;
-}
-
-static WcConfig *
-decode (const WcRoot *root, GHashTable *parts, GError **error)
-{
-  g_autoptr (GPtrArray) documents = g_ptr_array_new_with_free_func ((GDestroyNotify) wc_node_free);
-  WcConfig *config;
-  WcReader reader;
-  guint i;
-
-  wc_reader_init (&reader);
-  for (i = 0; i < root->hashes->len; i++)
-    {
-      GError *part_error = NULL;
-      WcNode *document = parse_part (g_ptr_array_index (root->hashes, i), parts, &part_error);
-
-      if (document != NULL)
-        g_ptr_array_add (documents, document);
-      else
-        wc_reader_add_error (&reader, part_error);
-    }
-  config = wc_build (documents, &reader);
-  config->version = root->last.version;
-  config->digest = root->digest;
-  if (!wc_reader_finish (&reader, error))
-    g_clear_pointer (&config, wc_config_unref);
-  wc_reader_clear (&reader);
-  return config;
-}
-
-WcConfig *
-wc_parts_decode (GBytes *root, GHashTable *parts, GError **error)
-{
-  WcRoot *parsed = wc_root_parse (root, error);
-  WcConfig *config = parsed != NULL ? decode (parsed, parts, error) : NULL;
-
-  wc_root_free (parsed);
-  return config;
-}
--- a/config/wc-parts.h
+++ b/config/wc-parts.h
@@ -104,5 +104,20 @@
  */
 WcConfig *wc_parts_decode (GBytes *root, GHashTable *parts, GError **error);
 
+/**
+ * struct WcDecoder - decodes one version after another
+ *
+ * Parts that two successive versions share are hashed and parsed once. A daemon uses it so that a
+ * change does not stop its event loop for the time that a whole configuration takes.
+ */
+typedef struct WcDecoder WcDecoder;
+
+WcDecoder *wc_decoder_new (void);
+void wc_decoder_free (WcDecoder *decoder);
+
+/** wc_decoder_decode() - like wc_parts_decode() */
+WcConfig *wc_decoder_decode (WcDecoder *decoder, GBytes *root, GHashTable *parts, GError **error);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcDecoder, wc_decoder_free)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcParts, wc_parts_free)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (WcRoot, wc_root_free)
--- a/tests/scripted/commands.sh
+++ b/tests/scripted/commands.sh
@@ -70,6 +70,7 @@
   run diff ../../examples/brasov --platform "$platform"
   run diff "$work/changed" --from ../../examples/brasov
   run diff "$work/changed"
+  run diff "$work/changed" --platform ftp://192.0.2.1
   run apply ../../examples/brasov --platform "$platform" --operator "ana maria"
   run apply ../../examples/brasov --platform "$platform" --operator ana
   run apply ../../examples/brasov --platform "$platform" --operator ana
@@ -85,6 +86,8 @@
   faults '{"down":true}'
   run apply ../../examples/huber --platform "$platform" --operator ion --timeout 2s --json
   run diff ../../examples/huber --platform "$platform" --timeout 2s
+  faults '{"slow_ms":3000}'
+  run apply ../../examples/brasov --platform "$platform" --operator ion --timeout 500ms
   faults '{}'
   run apply ../../examples/huber --platform "$platform" --operator ion
   run status --node "$node"
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -174,6 +174,40 @@
   g_assert_true (g_bytes_equal (root, root_again));
 }
 
+static WcConfig *
+decode_slots (WcDecoder *decoder, guint slots, guint parts_withheld, GError **error)
+{
+  g_autofree gchar *text = g_strdup_printf (SERVICE "slots = %u\n", slots);
+  g_autoptr (WcConfig) config = load (text);
+  g_autoptr (WcParts) parts = NULL;
+  g_autoptr (GBytes) root = encode (config, NULL, &parts);
+  guint i;
+
+  for (i = 0; i < parts_withheld; i++)
+    g_hash_table_remove (parts->bodies, g_ptr_array_index (parts->hashes, i));
+  return wc_decoder_decode (decoder, root, parts->bodies, error);
+}
+
+/* Guards against a decoder that keeps a part of an older version, or accepts an unknown one. */
+static void
+test_decoder (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (WcDecoder) decoder = wc_decoder_new ();
+  guint slots;
+
+  for (slots = 5; slots < 8; slots++)
+    {
+      /* The first two parts do not change, so they are known from the version before. */
+      g_autoptr (WcConfig) config = decode_slots (decoder, slots, slots > 5 ? 2 : 0, &error);
+
+      g_assert_no_error (error);
+      g_assert_cmpuint (((WcService *) g_ptr_array_index (config->services, 0))->slots, ==, slots);
+    }
+  g_assert_null (decode_slots (decoder, 5, 3, &error));
+  g_assert_error (error, WC_ERROR, WC_ERROR_PART);
+}
+
 /* Guards against a part that is accepted although it is missing, altered or invalid. */
 static void
 test_bad_parts (void)
@@ -233,6 +267,25 @@
   g_assert_error (error, WC_ERROR, WC_ERROR_UNKNOWN_KEY);
 }
 
+/* Guards against examples that operators cannot use. */
+static void
+test_examples (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (WcSettings) balancer =
+      wc_settings_load ("../examples/settings/balancer.toml", WW_ROLE_BALANCER, &error);
+  g_autoptr (WcSettings) agent = NULL;
+  g_autoptr (WcConfig) huber = NULL;
+
+  g_assert_no_error (error);
+  agent = wc_settings_load ("../examples/settings/agent.toml", WW_ROLE_AGENT, &error);
+  g_assert_no_error (error);
+  g_assert_cmpstr (agent->service, ==, "order-desk");
+  huber = wc_load_directory ("../examples/huber", &error);
+  g_assert_no_error (error);
+  g_assert_cmpuint (huber->zones->len, ==, 4);
+}
+
 /* Guards against a process that starts with settings it cannot work with. */
 static void
 test_bad_settings (void)
@@ -268,9 +321,11 @@
   g_test_add_func ("/config/non-ascii", test_non_ascii);
   g_test_add_func ("/config/defaults", test_defaults);
   g_test_add_func ("/config/round-trip", test_round_trip);
+  g_test_add_func ("/config/decoder", test_decoder);
   g_test_add_func ("/config/bad-parts", test_bad_parts);
   g_test_add_func ("/config/deep-json", test_deep_json);
   g_test_add_func ("/config/settings", test_settings);
+  g_test_add_func ("/config/examples", test_examples);
   g_test_add_func ("/config/bad-settings", test_bad_settings);
   return g_test_run ();
 }
--- a/waxwinghitch/cmd-apply.c
+++ b/waxwinghitch/cmd-apply.c
@@ -111,6 +111,7 @@
       g_printerr ("--platform: %s\n", error->message);
       return CMD_EXIT_USAGE;
     }
+  wp_client_set_timeout (client, cmd_call_timeout_ms (options));
   store = wp_client_store (client);
   apply_run = wp_apply_run_new (&store, &request, done, &apply);
   g_main_loop_run (loop);
--- a/waxwinghitch/cmd-diff.c
+++ b/waxwinghitch/cmd-diff.c
@@ -77,6 +77,7 @@
       g_printerr ("--platform: %s\n", error->message);
       return CMD_EXIT_USAGE;
     }
+  wp_client_set_timeout (client, cmd_call_timeout_ms (options));
   store = wp_client_store (client);
   callbacks.context = &read;
   read.loop = g_main_loop_new (NULL, FALSE);
--- a/waxwinghitch/cmd-options.c
+++ b/waxwinghitch/cmd-options.c
@@ -119,6 +119,12 @@
     }
 }
 
+guint
+cmd_call_timeout_ms (const CmdOptions *options)
+{
+  return (guint) MIN (options->timeout_us / WB_US_PER_MS, CMD_CALL_TIMEOUT_MS);
+}
+
 void
 cmd_options_parse (
     CmdOptions *options, guint allowed, guint required, const gchar *doc, int argc, char **argv)
--- a/waxwinghitch/cmd-options.h
+++ b/waxwinghitch/cmd-options.h
@@ -34,6 +34,12 @@
   const gchar *directory;
 } CmdOptions;
 
+/** Longest wait for one answer of the platform in milliseconds. */
+#define CMD_CALL_TIMEOUT_MS 5000
+
+/** cmd_call_timeout_ms() - longest wait for one answer, within the time for the whole command */
+guint cmd_call_timeout_ms (const CmdOptions *options);
+
 /**
  * cmd_options_parse() - reads the command line; ends the process on --help and on wrong usage
  * @allowed: CmdOption values that the command has
