Add tests of admission

Cause: the core had benches but no tests.

An entry keeps the tenant index under which it was counted: with an index beyond the tenants it was queued under "other", and a configuration that added tenants would have removed it from another tenant's queue.

Ruled out: nothing.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -157,7 +157,8 @@
 
   entry->flow = flow;
   entry->class = class;
-  entry->tenant = tenant;
+  /* A later configuration may add tenants; the entry stays where it was counted. */
+  entry->tenant = tenant < admission->tenants[0]->len ? tenant : WC_TENANT_OTHER;
   entry->by_age.data = entry;
   entry->by_tenant.data = entry;
   g_hash_table_insert (admission->entries, &entry->flow, entry);
--- /dev/null
+++ b/tests/test-admission.c
@@ -0,0 +1,527 @@
+#include "admission-net.h"
+
+/* Guards against short work that waits behind long work which came earlier. */
+static void
+test_order (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  g_assert_cmpint (net_open (net, 0, 2, WC_CLASS_LONG, 0), ==, WA_QUEUED);
+  g_assert_cmpint (net_open (net, 0, 3, WC_CLASS_MIXED, 0), ==, WA_QUEUED);
+  g_assert_cmpint (net_open (net, 0, 4, WC_CLASS_SHORT, 0), ==, WA_QUEUED);
+  g_assert_cmpint (net_open (net, 0, 2, WC_CLASS_LONG, 0), ==, WA_QUEUED);
+  g_assert_cmpuint (wa_admission_waiting (net->admissions[0]), ==, 3);
+  net_done (net, 0, 1);
+  net_done (net, 0, 4);
+  net_done (net, 0, 2);
+  g_assert_cmpuint (net_admitted_at (net, 0), ==, 4);
+  g_assert_cmpuint (net_admitted_at (net, 1), ==, 2);
+  g_assert_cmpuint (net_admitted_at (net, 2), ==, 3);
+}
+
+/* Guards against long work that starves behind steady short work, and against old long work that
+ * holds up the short class. */
+static void
+test_ageing (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  guint i;
+
+  net_occupy (net, 0, 1, WC_CLASS_SHORT);
+  for (i = 2; i <= 4; i++)
+    g_assert_cmpint (net_open (net, 0, i, WC_CLASS_LONG, 0), ==, WA_QUEUED);
+  net->now_us += net->service->deadline_us / 2;
+  for (i = 5; i <= 7; i++)
+    g_assert_cmpint (net_open (net, 0, i, WC_CLASS_SHORT, 0), ==, WA_QUEUED);
+  net_done (net, 0, 1);
+  for (i = 0; i < 4; i++)
+    net_done (net, 0, net_admitted_at (net, i));
+  g_assert_cmpuint (net_admitted_at (net, 0), ==, 2);
+  g_assert_cmpuint (net_admitted_at (net, 1), ==, 5);
+  g_assert_cmpuint (net_admitted_at (net, 2), ==, 3);
+  g_assert_cmpuint (net_admitted_at (net, 3), ==, 6);
+}
+
+/* Guards against a tenant's rush that takes the share of another, and against weights without
+ * effect. */
+static void
+test_fairness (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  guint of_three = 0;
+  guint i;
+
+  net->service->deadline_us = 1000 * S;
+  net_restart (net, 0, FALSE);
+  net_occupy (net, 0, 0, WC_CLASS_LONG);
+  for (i = 1; i <= 100; i++)
+    net_open (net, 0, i, WC_CLASS_LONG, i <= 60 ? 1 : 2);
+  net_done (net, 0, 0);
+  for (i = 0; i < 40; i++)
+    {
+      guint flow = net_admitted_at (net, i);
+
+      of_three += flow > 60;
+      net->now_us += 100 * MS;
+      net_done (net, 0, flow);
+    }
+  g_assert_cmpuint (of_three, >=, 28);
+  g_assert_cmpuint (of_three, <=, 32);
+}
+
+/* Guards against a refusal that comes only at the deadline, and against a queue without bound. */
+static void
+test_refusal (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  guint queued = 0;
+  guint i;
+
+  net->service->deadline_us = 2 * S;
+  net->service->queue_limit = 10;
+  net_restart (net, 0, FALSE);
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  for (i = 2; i < 8; i++)
+    queued += net_open (net, 0, i, WC_CLASS_LONG, 0) == WA_QUEUED;
+  g_assert_cmpuint (queued, ==, 3);
+  g_assert_cmpuint (net_counter (net, 0, "refused_predicted"), ==, 3);
+  g_assert_cmpuint (net->retry_after_s, >=, 1);
+  g_assert_cmpuint (net->retry_after_s, <=, 5);
+  for (i = 8; i < 40; i++)
+    net_open (net, 0, i, WC_CLASS_SHORT, 0);
+  g_assert_cmpuint (wa_admission_waiting (net->admissions[0]), ==, 10);
+  g_assert_cmpint (net->states[0][4], ==, REFUSED);
+  net->now_us += 2 * S;
+  net_advance (net, 0, 20 * MS);
+  g_assert_cmpuint (wa_admission_waiting (net->admissions[0]), ==, 0);
+}
+
+/* Guards against queued work that keeps its place although its deadline cannot be met any more. */
+static void
+test_refusal_sweep (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+
+  net->service->deadline_us = 2 * S;
+  net_restart (net, 0, FALSE);
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  net_open (net, 0, 2, WC_CLASS_LONG, 0);
+  net_open (net, 0, 3, WC_CLASS_LONG, 0);
+  net_advance (net, 0, 1 * S + 500 * MS);
+  g_assert_cmpint (net->states[0][2], ==, WAITING);
+  g_assert_cmpint (net->states[0][3], ==, REFUSED);
+  g_assert_cmpint (wa_admission_next_us (net->admissions[0]), <=, net->now_us + 20 * MS);
+}
+
+/* Guards against a slot reserved for short work that other work takes, and against more flows than
+ * slots. */
+static void
+test_slots (void)
+{
+  g_autoptr (Net) net = net_new (3, 1);
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  net_occupy (net, 0, 2, WC_CLASS_MIXED);
+  g_assert_cmpint (net_open (net, 0, 3, WC_CLASS_LONG, 0), ==, WA_QUEUED);
+  net_occupy (net, 0, 4, WC_CLASS_SHORT);
+  g_assert_cmpint (net_open (net, 0, 5, WC_CLASS_SHORT, 0), ==, WA_QUEUED);
+  g_assert_cmpuint (wa_admission_in_use (net->admissions[0]), ==, 3);
+  net_done (net, 0, 4);
+  g_assert_cmpuint (net_admitted_at (net, 0), ==, 5);
+  g_assert_cmpint (net->states[0][3], ==, WAITING);
+  wa_admission_busy (net->admissions[0], net_handle (6), WC_CLASS_LONG, 0, net->now_us);
+  net_done (net, 0, 1);
+  g_assert_cmpint (net->states[0][3], ==, WAITING);
+}
+
+/* Guards against a client that opens and sends nothing but keeps its slot, and against a request on
+ * an idle connection that is delivered beyond the slots. */
+static void
+test_reservation (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+
+  g_assert_cmpint (net_open (net, 0, 1, WC_CLASS_SHORT, 0), ==, WA_ADMITTED);
+  wa_admission_answered (net->admissions[0], net_handle (1), net->now_us);
+  g_assert_cmpint (net_open (net, 0, 2, WC_CLASS_SHORT, 0), ==, WA_QUEUED);
+  g_assert_cmpint (wa_admission_next_us (net->admissions[0]), <=, net->now_us + 100 * MS);
+  net_advance (net, 0, 100 * MS);
+  g_assert_cmpint (net->states[0][2], ==, OPEN);
+  g_assert_cmpint (wa_admission_request (net->admissions[0], net_handle (1), WC_CLASS_SHORT, 0,
+                                         &net->retry_after_s, net->now_us),
+                   ==, WA_QUEUED);
+  net->states[0][1] = WAITING;
+  net_done (net, 0, 2);
+  g_assert_cmpint (net->states[0][1], ==, OPEN);
+  g_assert_cmpuint (wa_admission_in_use (net->admissions[0]), ==, 1);
+}
+
+/* Guards against a placement that waits for ever or is decided twice when replies are lost or
+ * repeated. */
+static void
+test_placement (void)
+{
+  g_autoptr (Net) net = net_new (2, 0);
+
+  net_place (net, 0, 1, 0);
+  g_assert_cmpuint (net->placed_on[1], ==, 1);
+  g_assert_cmpuint (net->sent->len, ==, 0);
+  net_occupy (net, 0, 2, WC_CLASS_SHORT);
+  net_occupy (net, 1, 3, WC_CLASS_SHORT);
+  net_place (net, 0, 4, 0);
+  g_assert_cmpuint (net_sent_of_kind (net, WW_PEER_OCCUPANCY_REQUEST), ==, 2);
+  g_assert_cmpuint (net->placed_on[4], ==, 0);
+  net_deliver_all (net, 2);
+  g_assert_cmpuint (net->placed_on[4], ==, 3);
+  net_place (net, 0, 5, 0);
+  g_array_set_size (net->sent, 0);
+  g_assert_cmpint (wa_admission_next_us (net->admissions[0]), ==, net->now_us + 5 * MS);
+  net_advance (net, 0, 5 * MS);
+  g_assert_cmpuint (net->placed_on[5], ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "query_timeouts"), ==, 1);
+  net_place (net, 0, 6, 0);
+  wa_admission_remove (net->admissions[0], net_handle (6), net->now_us);
+  net_deliver_all (net, 1);
+  g_assert_cmpuint (net->placed_on[6], ==, 0);
+}
+
+/* Guards against two endpoints that get the same initial packet, and against offers or pulls whose
+ * loss leaves a queue beside free slots. */
+static void
+test_pull (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  ww_peer first;
+  guint i;
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  net_open (net, 0, 2, WC_CLASS_LONG, 0);
+  g_assert_cmpuint (net_sent_of_kind (net, WW_PEER_OFFER), ==, 3);
+  g_array_set_size (net->sent, 0);
+  net_open (net, 0, 3, WC_CLASS_SHORT, 0);
+  for (i = 0; i < 2; i++)
+    net_deliver (net, &g_array_index (net->sent, Sent, i));
+  g_assert_cmpuint (net_sent_of_kind (net, WW_PEER_PULL), ==, 2);
+  first = g_array_index (net->sent, Sent, 3).message;
+  for (i = 0; i < 3; i++)
+    wa_admission_receive (net->admissions[0], &first, net->now_us);
+  g_assert_cmpint (net->states[0][3], ==, GRANTED);
+  g_assert_cmpint (net->states[0][2], ==, WAITING);
+  g_assert_cmpuint (net_counter (net, 0, "pulls_repeated"), ==, 2);
+  wa_admission_receive (net->admissions[0], &g_array_index (net->sent, Sent, 4).message,
+                        net->now_us);
+  g_assert_cmpint (net->states[0][2], ==, GRANTED);
+  g_assert_cmpuint (net->granted_to[2], !=, net->granted_to[3]);
+  g_array_set_size (net->sent, 0);
+  net_advance (net, 1, 5 * MS);
+  g_assert_cmpuint (wa_admission_occupancy (net->admissions[1], net->now_us).busy, ==, 0);
+}
+
+/* Guards against two pulls for one entry that are both answered. */
+static void
+test_two_pulls (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  net_open (net, 0, 2, WC_CLASS_LONG, 0);
+  net_deliver_all (net, 1);
+  g_assert_cmpint (net->states[0][2], ==, GRANTED);
+  g_assert_cmpuint (net_counter (net, 0, "granted"), ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "pulls_empty"), >=, 1);
+}
+
+/* Guards against initial packets that wait for a server which is about to stop. */
+static void
+test_drain (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  guint i;
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  for (i = 2; i < 5; i++)
+    net_open (net, 0, i, WC_CLASS_LONG, 0);
+  wa_admission_request (net->admissions[0], net_handle (5), WC_CLASS_LONG, 0, &net->retry_after_s,
+                        net->now_us);
+  net->states[0][5] = WAITING;
+  wa_admission_set_draining (net->admissions[0], TRUE, net->now_us);
+  for (i = 2; i < 5; i++)
+    g_assert_cmpint (net->states[0][i], ==, GRANTED);
+  g_assert_cmpuint (net->granted_to[2] + net->granted_to[3] + net->granted_to[4], ==, 2 + 3 + 4);
+  g_assert_cmpint (net->states[0][5], ==, WAITING);
+  net_done (net, 0, 1);
+  g_assert_cmpint (net->states[0][5], ==, OPEN);
+  net_place (net, 0, 6, 0);
+  net_deliver_all (net, 1);
+  g_assert_cmpuint (net->placed_on[6], >, 1);
+}
+
+/* Guards against places and slots that stay taken by clients that have gone. */
+static void
+test_client_gone (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  net_open (net, 0, 2, WC_CLASS_LONG, 0);
+  net_open (net, 0, 3, WC_CLASS_LONG, 0);
+  net->states[0][2] = GONE;
+  wa_admission_remove (net->admissions[0], net_handle (2), net->now_us);
+  g_assert_cmpuint (wa_admission_waiting (net->admissions[0]), ==, 1);
+  wa_admission_remove (net->admissions[0], net_handle (1), net->now_us);
+  g_assert_cmpuint (net_admitted_at (net, 0), ==, 3);
+  wa_admission_remove (net->admissions[0], net_handle (3), net->now_us);
+  g_assert_cmpuint (wa_admission_in_use (net->admissions[0]), ==, 0);
+}
+
+/* Guards against a server that has just started and is filled like a warm one. */
+static void
+test_cold_start (void)
+{
+  g_autoptr (Net) net = net_new (4, 0);
+
+  net_restart (net, 0, TRUE);
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  net_occupy (net, 0, 2, WC_CLASS_LONG);
+  g_assert_cmpint (net_open (net, 0, 3, WC_CLASS_LONG, 0), ==, WA_QUEUED);
+  g_assert_cmpuint (
+      wa_admission_occupancy (net->admissions[0], net->now_us).flags & WA_OCCUPANCY_COLD, !=, 0);
+  net->service->deadline_us = 60 * S;
+  wa_admission_set_config (net->admissions[0], net->config, net->service);
+  net_advance (net, 0, net->service->cold_start_us);
+  g_assert_cmpint (net->states[0][3], ==, OPEN);
+}
+
+/* Guards against flows sent to a server that accepts no connections, and against one that is never
+ * tried again. */
+static void
+test_not_answering (void)
+{
+  g_autoptr (Net) net = net_new (4, 0);
+  guint i;
+
+  for (i = 1; i <= 3; i++)
+    net_open (net, 0, i, WC_CLASS_SHORT, 0);
+  net_advance (net, 0, 100 * MS);
+  g_assert_cmpuint (wa_admission_occupancy (net->admissions[0], net->now_us).flags &
+                        WA_OCCUPANCY_NOT_ANSWERING,
+                    !=, 0);
+  net_place (net, 0, 4, 0);
+  net_deliver_all (net, 1);
+  g_assert_cmpuint (net->placed_on[4], >, 1);
+  net_advance (net, 0, 3 * S);
+  g_assert_cmpuint (wa_admission_occupancy (net->admissions[0], net->now_us).busy, ==, 0);
+  net_open (net, 0, 5, WC_CLASS_SHORT, 0);
+  net_advance (net, 0, 100 * MS);
+  g_assert_cmpuint (net_counter (net, 0, "not_answering"), ==, 2);
+}
+
+/* Guards against an endpoint that gets all flows because it always reports itself as empty. */
+static void
+test_misleading (void)
+{
+  g_autoptr (Net) net = net_new (4, 0);
+  ww_peer offer = { .magic = WW_PEER_MAGIC, .service_id = net->service->id, .sender_id = 2 };
+  guint i;
+
+  offer.body.kind = WW_PEER_OFFER;
+  offer.body.ww_peer_body_u.offer.occupancy.slots = 4;
+  for (i = 0; i < 2; i++)
+    wa_admission_receive (net->admissions[0], &offer, net->now_us);
+  g_assert_cmpuint (net_counter (net, 0, "distrusted"), ==, 1);
+  net_occupy (net, 0, 1, WC_CLASS_SHORT);
+  net_occupy (net, 2, 2, WC_CLASS_SHORT);
+  net_occupy (net, 2, 3, WC_CLASS_SHORT);
+  net_place (net, 0, 4, 0);
+  net_deliver_all (net, 1);
+  g_assert_cmpuint (net->placed_on[4], ==, 1);
+}
+
+/* Guards against flows placed on a slow server as on the others. */
+static void
+test_slow (void)
+{
+  g_autoptr (Net) net = net_new (4, 0);
+  guint flow = 1;
+  guint i, j;
+
+  for (i = 0; i < 40; i++)
+    for (j = 0; j < 3; j++)
+      {
+        gint64 begin_us = net->now_us;
+
+        net_occupy (net, j, flow, WC_CLASS_SHORT);
+        net->now_us += j == 0 ? 150 * MS : 50 * MS;
+        net_done (net, j, flow++);
+        net->now_us = begin_us;
+      }
+  net->now_us += 1 * S;
+  net_occupy (net, 0, flow++, WC_CLASS_SHORT);
+  net_occupy (net, 1, flow++, WC_CLASS_SHORT);
+  net_occupy (net, 2, flow++, WC_CLASS_SHORT);
+  net_place (net, 0, flow, 0);
+  net_deliver_all (net, 1);
+  g_assert_cmpuint (net->placed_on[flow], ==, 2);
+  g_assert_cmpuint (wa_admission_occupancy (net->admissions[0], net->now_us).slots, ==, 2);
+  g_assert_cmpuint (wa_admission_occupancy (net->admissions[1], net->now_us).slots, ==, 4);
+}
+
+/* Guards against an answer to a message of an endpoint that is not in the service. */
+static void
+test_unknown_sender (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  ww_peer message = { .magic = WW_PEER_MAGIC, .service_id = net->service->id, .sender_id = 99 };
+
+  message.body.kind = WW_PEER_OCCUPANCY_REQUEST;
+  wa_admission_receive (net->admissions[0], &message, net->now_us);
+  message.sender_id = 2;
+  message.service_id++;
+  wa_admission_receive (net->admissions[0], &message, net->now_us);
+  g_assert_cmpuint (net->sent->len, ==, 0);
+  g_assert_cmpuint (net_counter (net, 0, "unknown_peer"), ==, 2);
+}
+
+static void
+random_message (Net *net, GRand *random)
+{
+  gint index = g_rand_int_range (random, 0, (gint32) net->sent->len);
+  Sent sent = g_array_index (net->sent, Sent, index);
+  gint fate = g_rand_int_range (random, 0, 10);
+
+  if (fate != 0) /* 1 in 10 is repeated later, 1 in 10 is lost */
+    g_array_remove_index_fast (net->sent, (guint) index);
+  if (fate != 1)
+    net_deliver (net, &sent);
+}
+
+static void
+random_step (Net *net, guint endpoint, guint flow, GRand *random)
+{
+  WaAdmission *admission = net->admissions[endpoint];
+  State *state = &net->states[endpoint][flow];
+  WcClass class = (WcClass) (flow % WC_N_CLASSES);
+  WaVerdict verdict;
+
+  switch (g_rand_int_range (random, 0, 8))
+    {
+    case 0:
+    case 1:
+      if (*state == UNKNOWN)
+        net_open (net, endpoint, flow, class, flow % 5);
+      break;
+    case 2:
+      net_place (net, endpoint, flow, endpoint);
+      break;
+    case 3:
+      if (*state != OPEN)
+        break;
+      verdict = wa_admission_request (admission, net_handle (flow), class, flow % 5,
+                                      &net->retry_after_s, net->now_us);
+      *state = verdict == WA_ADMITTED ? BUSY : verdict == WA_QUEUED ? WAITING : REFUSED;
+      break;
+    case 4:
+      if (*state == BUSY)
+        net_done (net, endpoint, flow);
+      break;
+    case 5:
+      if (*state != WAITING && g_rand_int_range (random, 0, 4) != 0)
+        break;
+      *state = GONE;
+      wa_admission_remove (admission, net_handle (flow), net->now_us);
+      break;
+    case 6:
+      if (g_rand_int_range (random, 0, 20) == 0)
+        wa_admission_set_draining (admission, g_rand_boolean (random), net->now_us);
+      break;
+    default:
+      net_advance (net, endpoint, g_rand_int_range (random, 0, 30 * MS));
+      break;
+    }
+}
+
+/* @oldest: flows before it are no longer touched; leaving them out only lowers the counts */
+static void
+check_slots (const Net *net, guint oldest)
+{
+  guint i, flow;
+
+  for (i = 0; i < ENDPOINTS; i++)
+    {
+      guint busy = 0, busy_rest = 0;
+
+      for (flow = oldest; flow < MIN (FLOWS, oldest + 40); flow++)
+        {
+          busy += net->states[i][flow] == BUSY;
+          busy_rest += net->states[i][flow] == BUSY && flow % WC_N_CLASSES != WC_CLASS_SHORT;
+        }
+      g_assert_cmpuint (busy, <=, net->service->slots);
+      g_assert_cmpuint (busy_rest, <=, net->service->slots - net->service->reserve_short);
+      g_assert_cmpuint (wa_admission_in_use (net->admissions[i]), <=, net->service->slots);
+      g_assert_cmpuint (wa_admission_waiting (net->admissions[i]), <=, net->service->queue_limit);
+    }
+}
+
+/* Guards against slots that are exceeded and entries that get no decision or more than one, when
+ * messages are lost, repeated and reordered. */
+static void
+test_random (void)
+{
+  guint32 seed;
+  guint i, j;
+
+  for (seed = 1; seed <= 20; seed++)
+    {
+      g_autoptr (Net) net = net_new (3, 1);
+      g_autoptr (GRand) random = g_rand_new_with_seed (seed);
+
+      net->service->queue_limit = 20;
+      for (i = 0; i < ENDPOINTS; i++)
+        wa_admission_set_config (net->admissions[i], net->config, net->service);
+      for (i = 0; i < 20000; i++)
+        {
+          guint newest = MIN (FLOWS, 40 + i / 6);
+
+          if (net->sent->len > 0 && g_rand_boolean (random))
+            random_message (net, random);
+          else
+            random_step (net, (guint) g_rand_int_range (random, 0, ENDPOINTS),
+                         (guint) g_rand_int_range (random, newest - 40, newest), random);
+          check_slots (net, newest - 40);
+        }
+      net->now_us += 20 * S;
+      for (i = 0; i < ENDPOINTS; i++)
+        {
+          net_advance (net, i, 20 * MS);
+          g_assert_cmpuint (wa_admission_waiting (net->admissions[i]), ==, 0);
+          for (j = 0; j < FLOWS; j++)
+            g_assert_cmpint (net->states[i][j], !=, WAITING);
+        }
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/admission/order", test_order);
+  g_test_add_func ("/admission/ageing", test_ageing);
+  g_test_add_func ("/admission/fairness", test_fairness);
+  g_test_add_func ("/admission/refusal", test_refusal);
+  g_test_add_func ("/admission/refusal-sweep", test_refusal_sweep);
+  g_test_add_func ("/admission/slots", test_slots);
+  g_test_add_func ("/admission/reservation", test_reservation);
+  g_test_add_func ("/admission/placement", test_placement);
+  g_test_add_func ("/admission/pull", test_pull);
+  g_test_add_func ("/admission/two-pulls", test_two_pulls);
+  g_test_add_func ("/admission/drain", test_drain);
+  g_test_add_func ("/admission/client-gone", test_client_gone);
+  g_test_add_func ("/admission/cold-start", test_cold_start);
+  g_test_add_func ("/admission/not-answering", test_not_answering);
+  g_test_add_func ("/admission/misleading", test_misleading);
+  g_test_add_func ("/admission/slow", test_slow);
+  g_test_add_func ("/admission/unknown-sender", test_unknown_sender);
+  g_test_add_func ("/admission/random", test_random);
+  return g_test_run ();
+}
