Choose usable endpoints in membership, for balancers and agents alike

Cause: the rule that keeps a service's endpoints when most of them seem to fail at once stood in the balancer, but membership leaves dead members out of its list, so the rule never applied. For a lost availability zone it worked against the evidence: with two of three endpoints in the zone the balancer kept all three, and an agent forwarded initial packets to a home in the zone.

Change: wm_node_usable_endpoints() leaves out endpoints in a lost zone while the service has others, and keeps endpoints that died in the last 10 s when more than half of the service did. Both daemons use it. The balancer's own rule and its test are replaced by three tests of the membership core.

Ruled out: marking dead endpoints as lost in the daemons, because agents would need the same rule a second time. Keeping them for longer than 10 s would send new flows to a failed rack for as long.

--- a/balance/wl-balancer.c
+++ b/balance/wl-balancer.c
@@ -102,47 +102,19 @@
   return service;
 }
 
-static guint
-count_lost (const ServiceEndpoints *service)
-{
-  guint lost = 0;
-  guint i;
-
-  for (i = 0; i < service->endpoints->len; i++)
-    if (g_array_index (service->endpoints, WlEndpoint, i).lost)
-      lost++;
-  return lost;
-}
-
-/* When most endpoints seem to have failed at once, the fault is more likely in the view than in the
- * endpoints. */
-static void
-drop_lost (ServiceEndpoints *service)
-{
-  guint i;
-
-  if (count_lost (service) * 2 <= service->endpoints->len)
-    for (i = service->endpoints->len; i > 0; i--)
-      if (g_array_index (service->endpoints, WlEndpoint, i - 1).lost)
-        g_array_remove_index (service->endpoints, i - 1);
-  for (i = 0; i < service->endpoints->len; i++)
-    g_array_append_val (service->ids, g_array_index (service->endpoints, WlEndpoint, i).id);
-}
-
 void
 wl_balancer_set_endpoints (WlBalancer *balancer, const WlEndpoint *endpoints, guint count)
 {
-  GHashTableIter iter;
-  gpointer service;
   guint i;
 
   g_hash_table_remove_all (balancer->services);
   for (i = 0; i < count; i++)
-    g_array_append_val (ensure_service (balancer, endpoints[i].service_id)->endpoints,
-                        endpoints[i]);
-  g_hash_table_iter_init (&iter, balancer->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    drop_lost (service);
+    {
+      ServiceEndpoints *service = ensure_service (balancer, endpoints[i].service_id);
+
+      g_array_append_val (service->ids, endpoints[i].id);
+      g_array_append_val (service->endpoints, endpoints[i]);
+    }
 }
 
 static gboolean
--- a/balance/wl.h
+++ b/balance/wl.h
@@ -11,8 +11,6 @@
 
 /**
  * struct WlEndpoint - one endpoint, as membership reports it
- * @lost: dead in the membership view; still used when more than half of the service's endpoints are
- * lost
  */
 typedef struct
 {
@@ -20,7 +18,6 @@
   guint64 service_id;
   guint32 address;
   guint16 data_port;
-  gboolean lost;
 } WlEndpoint;
 
 /**
--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -52,6 +52,7 @@
   wm_send_init (node);
   wm_table_init (node);
   wm_gossip_init (node);
+  node->usable.recheck_us = WB_NEVER;
   wm_join_init (node);
   wm_config_init (node);
   wm_news_member (node, settings->id);
@@ -109,7 +110,7 @@
   next_us = MIN (next_us, wm_send_next_us (node));
   next_us = MIN (next_us, wm_join_next_us (node));
   next_us = MIN (next_us, wm_fetch_next_us (node));
-  next_us = MIN (next_us, node->cleanup_us);
+  next_us = MIN (next_us, MIN (node->cleanup_us, node->usable.recheck_us));
   /* Work that is overdue already, as the end of a suspicion that was heard late, is no pause. */
   node->next_us = MAX (next_us, node->now_us);
 }
@@ -177,6 +178,7 @@
 {
   enter_call (node, now_us);
   wm_state_tick (node);
+  wm_usable_tick (node);
   wm_probe_tick (node);
   wm_join_tick (node);
   wm_fetch_tick (node);
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -278,6 +278,18 @@
   WmFetch fetch;
 } WmConfig;
 
+/**
+ * struct WmUsable - what the last call of members_changed was based on
+ * @lost_zones: bit set by row of the table of availability zones
+ * @recheck_us: when the endpoints that died last stop being used
+ */
+typedef struct
+{
+  guint64 lost_zones;
+  guint dead;
+  gint64 recheck_us;
+} WmUsable;
+
 struct WmNode
 {
   WmSettings settings;
@@ -324,6 +336,7 @@
   GQueue queues[WM_N_CLASSES]; /* of WmQueued */
 
   GArray *zones;
+  WmUsable usable;
   GArray *contacts;
   WmJoin join;
   WmConfig config;
@@ -371,6 +384,7 @@
 void wm_raise_incarnation (WmNode *node, guint64 above, gboolean push);
 void wm_relay_failed (WmNode *node, WmMember *row);
 void wm_state_tick (WmNode *node);
+void wm_usable_tick (WmNode *node);
 
 /* wm-gossip.c */
 void wm_gossip_init (WmNode *node);
--- a/member/wm.h
+++ b/member/wm.h
@@ -110,6 +110,15 @@
  */
 GArray *wm_node_endpoints (const WmNode *node, guint64 service_id);
 
+/**
+ * wm_node_usable_endpoints() - (transfer container): endpoints that packets may be sent to
+ * @service_id: 0 for the endpoints of all services
+ *
+ * Endpoints in a lost availability zone are left out while the service has others. Endpoints that
+ * are dead stay for 10 s when most of their service died at once.
+ */
+GArray *wm_node_usable_endpoints (const WmNode *node, guint64 service_id);
+
 /** wm_node_is_member() - whether a known member uses this address (R4) */
 gboolean wm_node_is_member (const WmNode *node, guint32 address);
 
--- a/tests/flow-world.c
+++ b/tests/flow-world.c
@@ -336,7 +336,7 @@
     {
       if (!members[i].member)
         continue;
-      targets[n_targets++] = (WlEndpoint){ members[i].id, members[i].service_id, i + 1, 1, FALSE };
+      targets[n_targets++] = (WlEndpoint){ members[i].id, members[i].service_id, i + 1, 1 };
       if (event->kind == VIEW_AGENT &&
           members[i].service_id == world->agents[event->target].service_id)
         endpoints[n_endpoints++] =
--- a/tests/test-balance.c
+++ b/tests/test-balance.c
@@ -48,7 +48,7 @@
 }
 
 static void
-set_endpoints (WlBalancer *balancer, guint count, guint lost)
+set_endpoints (WlBalancer *balancer, guint count)
 {
   WlEndpoint endpoints[8] = { 0 };
   guint i;
@@ -58,7 +58,6 @@
       endpoints[i].id = wb_hash64 (&i, sizeof i, 1);
       endpoints[i].service_id = wb_name_id ("order-desk");
       endpoints[i].address = 0x7f000001 + i;
-      endpoints[i].lost = i < lost;
     }
   wl_balancer_set_endpoints (balancer, endpoints, count);
 }
@@ -76,8 +75,8 @@
 
   wl_balancer_set_config (a, config);
   wl_balancer_set_config (b, config);
-  set_endpoints (a, 7, 0);
-  set_endpoints (b, 7, 0);
+  set_endpoints (a, 7);
+  set_endpoints (b, 7);
   for (port = 1000; port < 1200; port++)
     {
       send_packet (a, port, 80);
@@ -98,7 +97,7 @@
   g_autoptr (WcConfig) config = make_config (1, 80);
 
   wl_balancer_set_config (balancer, config);
-  set_endpoints (balancer, 2, 0);
+  set_endpoints (balancer, 2);
   send_packet (balancer, 1000, 81);
   g_assert_cmpuint (captured.sent, ==, 0);
   g_assert_cmpuint (
@@ -117,39 +116,12 @@
 
   wl_balancer_set_config (balancer, newer);
   wl_balancer_set_config (balancer, older);
-  set_endpoints (balancer, 2, 0);
+  set_endpoints (balancer, 2);
   send_packet (balancer, 1000, 81);
   g_assert_cmpuint (captured.sent, ==, 1);
   g_assert_cmpuint (captured.header.config_version, ==, 5);
 }
 
-/* Guards against a balancer that abandons most of a service because its own view is wrong. */
-static void
-test_mass_loss_keeps_all (void)
-{
-  Capture captured = { 0 };
-  WlCallbacks callbacks = { &captured, capture };
-  g_autoptr (WlBalancer) balancer = wl_balancer_new (1, &callbacks);
-  g_autoptr (WcConfig) config = make_config (1, 80);
-  guint reached = 0;
-  guint16 port;
-
-  wl_balancer_set_config (balancer, config);
-  set_endpoints (balancer, 4, 1);
-  for (port = 1000; port < 1100; port++)
-    {
-      send_packet (balancer, port, 80);
-      g_assert_cmpuint (captured.address, !=, 0x7f000001);
-    }
-  set_endpoints (balancer, 4, 3);
-  for (port = 1000; port < 1100; port++)
-    {
-      send_packet (balancer, port, 80);
-      reached |= 1u << (captured.address - 0x7f000001);
-    }
-  g_assert_cmpuint (reached, ==, 0xf);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -157,6 +129,5 @@
   g_test_add_func ("/balance/agree", test_balancers_agree);
   g_test_add_func ("/balance/unknown-port", test_unknown_port);
   g_test_add_func ("/balance/older-config-ignored", test_older_config_ignored);
-  g_test_add_func ("/balance/mass-loss-keeps-all", test_mass_loss_keeps_all);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test-usable.c
@@ -0,0 +1,94 @@
+#include "member-net.h"
+
+/* 12 balancers and services of 4 endpoints; zones go round, so that each service has one endpoint
+ * in each of 4 availability zones. */
+static MnNet *
+make_net (guint zones)
+{
+  MnNet *net = mn_net_new (60, 12, 4, zones, 11);
+
+  mn_start_all (net);
+  mn_run (net, 5 * WB_US_PER_S);
+  return net;
+}
+
+static guint
+count_usable (const MnNet *net, guint viewer, guint member_of_service)
+{
+  g_autoptr (GArray) members = wm_node_usable_endpoints (
+      net->nodes[viewer].core, net->nodes[member_of_service].settings.service_id);
+
+  return members->len;
+}
+
+static gboolean
+is_usable (const MnNet *net, guint viewer, guint subject)
+{
+  g_autoptr (GArray) members = wm_node_usable_endpoints (net->nodes[viewer].core, 0);
+  guint i;
+
+  for (i = 0; i < members->len; i++)
+    if (g_array_index (members, ww_member, i).id == mn_id (net, subject))
+      return TRUE;
+  return FALSE;
+}
+
+/* Guards against a dead endpoint that stays in use when the rest of its service is well. */
+static void
+test_single_death (void)
+{
+  g_autoptr (MnNet) net = make_net (4);
+
+  mn_kill (net, 20);
+  mn_run (net, 4 * WB_US_PER_S);
+  g_assert_false (is_usable (net, 0, 20));
+  g_assert_cmpuint (count_usable (net, 0, 20), ==, 3);
+}
+
+/* Guards against a node that abandons most of a service at once, and against one that goes on for
+ * ever with endpoints that are gone. */
+static void
+test_mass_failure (void)
+{
+  g_autoptr (MnNet) net = make_net (4);
+  guint i;
+
+  for (i = 20; i < 23; i++)
+    mn_kill (net, i);
+  mn_run (net, 6 * WB_US_PER_S);
+  g_assert_cmpint (mn_state (net, 0, 20), ==, WW_MEMBER_DEAD);
+  g_assert_cmpuint (count_usable (net, 0, 20), ==, 4);
+  mn_run (net, 12 * WB_US_PER_S);
+  g_assert_cmpuint (count_usable (net, 0, 20), ==, 1);
+}
+
+/* Guards against endpoints of a lost availability zone that stay in use until each has been
+ * declared dead. */
+static void
+test_lost_zone (void)
+{
+  g_autoptr (MnNet) net = make_net (4);
+  guint32 zone = net->nodes[20].settings.zone;
+  guint i;
+
+  for (i = 0; i < net->count; i++)
+    if (net->nodes[i].settings.zone == zone)
+      mn_kill (net, i);
+  mn_run (net, 5 * WB_US_PER_S);
+  for (i = 0; i < 12; i++)
+    if (net->nodes[i].settings.zone != zone)
+      {
+        g_assert_false (is_usable (net, i, 20));
+        g_assert_cmpuint (count_usable (net, i, 20), ==, 3);
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/usable/single-death", test_single_death);
+  g_test_add_func ("/usable/mass-failure", test_mass_failure);
+  g_test_add_func ("/usable/lost-zone", test_lost_zone);
+  return g_test_run ();
+}
--- a/waxwinghitch-agent/agt-daemon.c
+++ b/waxwinghitch-agent/agt-daemon.c
@@ -87,8 +87,8 @@
 members_changed (gpointer context, gint64 now_us)
 {
   AgtDaemon *daemon = context;
-  WmNode *member_node = wd_node_member (daemon->node);
-  g_autoptr (GArray) members = wm_node_endpoints (member_node, daemon->service_id);
+  g_autoptr (GArray) members =
+      wm_node_usable_endpoints (wd_node_member (daemon->node), daemon->service_id);
   g_autoptr (GArray) endpoints = g_array_new (FALSE, FALSE, sizeof (WfEndpoint));
   guint i;
 
@@ -99,8 +99,9 @@
       WfEndpoint endpoint = { .id = member->id,
                               .incarnation = member->incarnation,
                               .draining = (member->flags & WM_MEMBER_DRAINING) != 0,
-                              .suspected = member->state == WW_MEMBER_SUSPECT ||
-                                           wm_node_zone_lost (member_node, member->zone) };
+                              .suspected =
+                                  member->state != WW_MEMBER_ALIVE ||
+                                  wm_node_zone_lost (wd_node_member (daemon->node), member->zone) };
 
       g_array_append_val (endpoints, endpoint);
       add_address (daemon, member);
--- a/waxwinghitch/bal-daemon.c
+++ b/waxwinghitch/bal-daemon.c
@@ -34,31 +34,24 @@
   wl_balancer_packet (daemon->balancer, packet, length);
 }
 
-static void
-add_endpoint (GArray *endpoints, const WmNode *member_node, const ww_member *member)
-{
-  WlEndpoint endpoint = { .id = member->id,
-                          .service_id = member->service_id,
-                          .address = member->address,
-                          .data_port = wm_member_data_port (member),
-                          .lost = member->state == WW_MEMBER_DEAD ||
-                                  wm_node_zone_lost (member_node, member->zone) };
-
-  if (member->role == WW_ROLE_AGENT)
-    g_array_append_val (endpoints, endpoint);
-}
-
 static void
 members_changed (gpointer context, gint64 now_us)
 {
   Daemon *daemon = context;
-  WmNode *member_node = wd_node_member (daemon->node);
-  g_autoptr (GArray) members = wm_node_members (member_node);
+  g_autoptr (GArray) members = wm_node_usable_endpoints (wd_node_member (daemon->node), 0);
   g_autoptr (GArray) endpoints = g_array_new (FALSE, FALSE, sizeof (WlEndpoint));
   guint i;
 
   for (i = 0; i < members->len; i++)
-    add_endpoint (endpoints, member_node, &g_array_index (members, ww_member, i));
+    {
+      const ww_member *member = &g_array_index (members, ww_member, i);
+      WlEndpoint endpoint = { .id = member->id,
+                              .service_id = member->service_id,
+                              .address = member->address,
+                              .data_port = wm_member_data_port (member) };
+
+      g_array_append_val (endpoints, endpoint);
+    }
   wl_balancer_set_endpoints (daemon->balancer, (const WlEndpoint *) (gpointer) endpoints->data,
                              endpoints->len);
 }
