Show wait histograms per class and tenant in the agent's metrics

The metrics command printed counters only; the waits that admission records per class and tenant were not visible to operators. The agent appends one block of quantiles for each class and tenant that has been admitted.

--- a/waxwinghitch-agent/agt-daemon.c
+++ b/waxwinghitch-agent/agt-daemon.c
@@ -205,8 +205,7 @@
 {
   AgtDaemon *daemon = context;
 
-  wb_counters_append_text (wf_agent_counters (daemon->agent), text);
-  wb_counters_append_text (wa_admission_counters (wf_agent_admission (daemon->agent)), text);
+  agt_metrics_append (daemon->agent, wd_node_config (daemon->node), text);
 }
 
 static gboolean
--- a/waxwinghitch-agent/agt.h
+++ b/waxwinghitch-agent/agt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wd.h"
+#include "wf.h"
 
 /**
  * struct AgtDaemon - the process beside one backend server
@@ -16,3 +17,9 @@
 
 /** agt_daemon_run() - runs until a planned stop is complete */
 void agt_daemon_run (AgtDaemon *daemon);
+
+/**
+ * agt_metrics_append() - appends the agent's counters and its wait histograms per class and tenant
+ * @config: the configuration in effect, for the tenants' names, or NULL
+ */
+void agt_metrics_append (const WfAgent *agent, const WcConfig *config, GString *text);
