Fetch configuration parts in groups and from many members

Cause: a restarted node of 800 took 28.5 s to fetch the root object and 240 parts, because each request named one part and repeated requests used up its budget. It was the last to have a new version, after 21.9 s.

Change: a request names up to 8 parts. Parts that are overdue are asked for together. With many parts missing, requests go to random members, and the chunks of a long object come from one source after the other. A source that refuses is replaced at once at most 4 times, then after 1 to 2 s. Root objects of one chunk are served to everybody.

Ruled out: telling members that ask a busy holder of a first version that it is busy; the answers used up the holder's budget and no other member had the configuration after 120 s.

--- a/bench/bench-member-main.c
+++ b/bench/bench-member-main.c
@@ -119,6 +119,25 @@
   mn_run (net, 5 * WB_US_PER_S);
 }
 
+/* Seconds until a node that restarts without any state is ready, and has the configuration; the
+ * other nodes that restarted before get time to do so too. */
+static gdouble
+measure_start (MnNet *net, guint index)
+{
+  gint64 begin_us = net->now_us;
+  gdouble ready_s = -1;
+
+  mn_start (net, index);
+  while ((ready_s < 0 || mn_count_applied (net, 1) < net->count) &&
+         net->now_us - begin_us < 200 * WB_US_PER_S)
+    {
+      mn_run (net, STEP_US);
+      if (ready_s < 0 && wm_node_ready (net->nodes[index].core) && net->nodes[index].applied == 1)
+        ready_s = (gdouble) (net->now_us - begin_us) / WB_US_PER_S;
+    }
+  return ready_s;
+}
+
 static void
 measure_config (MnNet *net, guint services, gdouble *half_s, gdouble *all_s)
 {
@@ -202,7 +221,7 @@
   GHashTable *parts = NULL;
   GBytes *root = mn_config (services, 1, 0, &parts);
   gdouble half_s, all_s, peers_s, death_half_s = 0, death_all_s = 0, death_peers_s = 0;
-  gdouble config_half_s, config_all_s, evidence_s, zone_half_s, zone_most_s;
+  gdouble start_s, config_half_s, config_all_s, evidence_s, zone_half_s, zone_most_s;
   gsize heap, config_bytes = 0;
   Load rest, churn;
   guint i;
@@ -223,17 +242,17 @@
       death_all_s = all_s < 0 ? all_s : MAX (death_all_s, all_s);
       death_peers_s = MAX (death_peers_s, peers_s);
     }
-  mn_run (net, 10 * WB_US_PER_S);
+  start_s = measure_start (net, balancers + 1);
   measure_config (net, services, &config_half_s, &config_all_s);
   mn_run (net, 10 * WB_US_PER_S);
   measure_zone (net, balancers, &evidence_s, &zone_half_s, &zone_most_s);
   g_print (
       "| %u | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f + %.0f | %.2f / %.2f / %.2f | %.2f / %.2f "
-      "| %u | %.1f | %.1f / %.1f |\n",
+      "| %u | %.1f | %.1f | %.1f / %.1f |\n",
       count, rest.bytes, rest.most_bytes, churn.bytes, churn.most_bytes, churn.cpu_us,
       (gdouble) heap / count / 1024, (gdouble) config_bytes / count / 1024, death_peers_s,
-      death_half_s, death_all_s, config_half_s, config_all_s, g_bit_storage (count), evidence_s,
-      zone_half_s, zone_most_s);
+      death_half_s, death_all_s, config_half_s, config_all_s, g_bit_storage (count), start_s,
+      evidence_s, zone_half_s, zone_most_s);
   g_hash_table_unref (parts);
   g_bytes_unref (root);
   mn_net_free (net);
@@ -249,8 +268,9 @@
   g_print ("seed %u\n\n", SEED);
   g_print ("| nodes | B/s at rest, mean | most | B/s with churn, mean | most | CPU us per s "
            "| KiB: members + config | death s: peers / half / all | config s: half / all "
-           "| log2 n | zone last s, evidence | zone dead s without it: half / 99%% |\n");
-  g_print ("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+           "| log2 n | restart to ready s | zone last s, evidence | zone dead s without it: half / "
+           "99%% |\n");
+  g_print ("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
   for (i = 1; i < argc; i++)
     run ((guint) atoi (argv[i]));
   for (i = 0; argc == 1 && i < (gint) G_N_ELEMENTS (sizes); i++)
--- a/member/wm-config.c
+++ b/member/wm-config.c
@@ -260,9 +260,9 @@
   return delta;
 }
 
-/* While the budget is short, root objects go to one member until it has the whole of it. When all
- * members ask the only holder of a new version, each would otherwise get a chunk now and then and
- * none would soon be able to help. */
+/* While the budget is short, long root objects go to one member until it has the whole of it. When
+ * all members ask the only holder of a new version, each would otherwise get a chunk now and then
+ * and none would soon be able to help. */
 static gboolean
 serves_root_to (WmNode *node, const WmContact *from)
 {
@@ -277,37 +277,63 @@
   return TRUE;
 }
 
-void
-wm_config_serve (WmNode *node, const WmContact *from, guint32 xid, const ww_config_fetch *request)
+static void
+send_chunk (WmNode *node,
+            const WmContact *to,
+            guint32 xid,
+            guint offset,
+            GBytes *object,
+            ww_config_chunk *chunk)
 {
-  static const guint8 zeros[WM_HASH_BYTES];
   WwCall call = { .xid = xid, .is_reply = TRUE };
-  ww_config_chunk chunk = { .config_version = request->config_version, .offset = request->offset };
-  GBytes *object;
   gsize size = 0;
   const guint8 *data = NULL;
 
-  memcpy (chunk.hash, request->hash, WM_HASH_BYTES);
-  if (memcmp (request->hash, zeros, WM_HASH_BYTES) == 0)
+  chunk->offset = offset;
+  if (object != NULL)
+    data = g_bytes_get_data (object, &size);
+  if (offset < size)
     {
-      if (!serves_root_to (node, from))
-        return;
-      object = find_root (node, request, &chunk);
+      chunk->total = (guint) size;
+      chunk->data.data_val = (char *) data + offset;
+      chunk->data.data_len = (guint) MIN (size - offset, WW_MAX_CHUNK);
     }
-  else
-    {
-      gchar hex[WM_HEX_BYTES];
+  wm_send (node, WM_CLASS_CONFIG, to, &call, xdr_ww_config_chunk, chunk);
+}
 
-      wm_hash_to_hex ((const guint8 *) request->hash, hex);
-      object = g_hash_table_lookup (node->config.parts, hex);
-    }
-  if (object != NULL)
-    data = g_bytes_get_data (object, &size);
-  if (request->offset < size)
+static void
+serve_part (WmNode *node,
+            const WmContact *from,
+            guint32 xid,
+            const ww_config_fetch *request,
+            const char *hash,
+            guint offset)
+{
+  ww_config_chunk chunk = { .config_version = request->config_version };
+  gchar hex[WM_HEX_BYTES];
+
+  memcpy (chunk.hash, hash, WM_HASH_BYTES);
+  wm_hash_to_hex ((const guint8 *) hash, hex);
+  send_chunk (node, from, xid, offset, g_hash_table_lookup (node->config.parts, hex), &chunk);
+}
+
+void
+wm_config_serve (WmNode *node, const WmContact *from, guint32 xid, const ww_config_fetch *request)
+{
+  static const guint8 zeros[WM_HASH_BYTES];
+  ww_config_chunk chunk = { .config_version = request->config_version };
+  GBytes *root;
+  guint i;
+
+  if (memcmp (request->hash, zeros, WM_HASH_BYTES) == 0)
     {
-      chunk.total = (guint) size;
-      chunk.data.data_val = (char *) data + request->offset;
-      chunk.data.data_len = (guint) MIN (size - request->offset, WW_MAX_CHUNK);
+      root = find_root (node, request, &chunk);
+      if (root != NULL && g_bytes_get_size (root) > WW_MAX_CHUNK && !serves_root_to (node, from))
+        return;
+      send_chunk (node, from, xid, request->offset, root, &chunk);
+      return;
     }
-  wm_send (node, WM_CLASS_CONFIG, from, &call, xdr_ww_config_chunk, &chunk);
+  serve_part (node, from, xid, request, request->hash, request->offset);
+  for (i = 0; i < request->more.more_len; i++)
+    serve_part (node, from, xid, request, request->more.more_val[i].bytes, 0);
 }
--- a/member/wm-fetch.c
+++ b/member/wm-fetch.c
@@ -11,6 +11,9 @@
 /* Every fourth request for a root object goes to any member, for the case that those that announced
  * the version are gone. */
 #define TRIES_PER_RANDOM 4
+#define MAX_QUICK_TRIES 4
+
+#define GROUP (WW_MAX_FETCH + 1)
 
 void
 wm_fetch_init (WmNode *node)
@@ -46,18 +49,27 @@
   reset (node);
 }
 
-/* The member that the version was heard from first, then the others that announced it. Parts that
- * are fetched at the same time come from different members, and every second try goes to any
- * member: those that are fetching too serve what they have. */
+/* Return: whether the next request goes to any member rather than to one that announced the
+ * version. With many parts missing, as at a start, the few that announced it would limit the rate;
+ * members that are fetching too serve what they have. */
+static gboolean
+prefers_random (const WmFetch *fetch, const WmSlot *slot)
+{
+  if (slot->is_root)
+    return slot->tries % TRIES_PER_RANDOM == TRIES_PER_RANDOM - 1;
+  return slot->tries % 2 == (fetch->many ? 0 : 1);
+}
+
+/* The member that the version was heard from comes first; the chunks of a long object come from one
+ * source after the other. */
 static gboolean
 choose_source (WmNode *node, const WmSlot *slot, WmContact *source)
 {
   const WmFetch *fetch = &node->config.fetch;
-  guint number = (guint) (slot - fetch->slots) + slot->tries;
-  guint period = slot->is_root ? TRIES_PER_RANDOM : 2;
+  guint number = (guint) (slot - fetch->slots) + slot->tries + slot->buffer->len / WW_MAX_CHUNK;
   const WmMember *row;
 
-  if (slot->tries % period != period - 1)
+  if (!prefers_random (fetch, slot))
     {
       *source = fetch->sources[number % fetch->n_sources];
       return TRUE;
@@ -69,28 +81,43 @@
   return TRUE;
 }
 
+/* Asks one member for the objects of all @slots, of which those after the first are parts that have
+ * not begun to arrive. */
 static void
-request_slot (WmNode *node, WmSlot *slot)
+request_slots (WmNode *node, WmSlot **slots, guint count)
 {
-  const WmFetch *fetch = &node->config.fetch;
   gint64 timeout_us = FIRST_TIMEOUT_US;
+  ww_hash more[WW_MAX_FETCH];
   ww_config_fetch request = { .sender_id = node->settings.id,
-                              .config_version = fetch->version,
-                              .base_version = slot->base_version,
-                              .offset = slot->buffer->len };
-  WwCall call = { .procedure = WW_PROC_CONFIG_FETCH };
+                              .config_version = node->config.fetch.version,
+                              .base_version = slots[0]->base_version,
+                              .offset = slots[0]->buffer->len,
+                              .more = { count - 1, more } };
+  WwCall call = { .xid = wm_next_xid (node), .procedure = WW_PROC_CONFIG_FETCH };
   WmContact source;
+  guint i;
 
-  if (!slot->is_root)
-    wm_hash_from_hex (slot->hex, (guint8 *) request.hash);
-  slot->xid = call.xid = wm_next_xid (node);
-  if (slot->tries > 0)
+  if (slots[0]->tries > 0)
     timeout_us = g_rand_int_range (node->random, TIMEOUT_MIN_US, TIMEOUT_MAX_US);
-  slot->due_us = node->now_us + timeout_us;
-  if (choose_source (node, slot, &source))
+  for (i = 0; i < count; i++)
+    {
+      guint8 *hash = (guint8 *) (i == 0 ? request.hash : more[i - 1].bytes);
+
+      if (!slots[i]->is_root)
+        wm_hash_from_hex (slots[i]->hex, hash);
+      slots[i]->xid = call.xid;
+      slots[i]->due_us = node->now_us + timeout_us;
+    }
+  if (choose_source (node, slots[0], &source))
     wm_send (node, WM_CLASS_CONFIG, &source, &call, xdr_ww_config_fetch, &request);
 }
 
+static void
+request_slot (WmNode *node, WmSlot *slot)
+{
+  request_slots (node, &slot, 1);
+}
+
 /* What has arrived stays: the next source goes on from there. */
 static void
 retry_slot (WmNode *node, WmSlot *slot)
@@ -109,32 +136,61 @@
 }
 
 static void
-begin_slot (WmNode *node, WmSlot *slot, const gchar *hex)
+begin_slot (WmSlot *slot, const gchar *hex)
 {
   slot->busy = TRUE;
   slot->is_root = hex == NULL;
   slot->buffer = g_byte_array_new ();
   if (hex != NULL)
     g_strlcpy (slot->hex, hex, sizeof slot->hex);
-  else if (node->config.roots[0].bytes != NULL)
+}
+
+static void
+begin_root (WmNode *node)
+{
+  WmSlot *slot = &node->config.fetch.slots[0];
+
+  begin_slot (slot, NULL);
+  if (node->config.roots[0].bytes != NULL)
     slot->base_version = node->config.roots[0].version;
   request_slot (node, slot);
 }
 
+static guint
+list_free (WmFetch *fetch, WmSlot **slots)
+{
+  guint count = 0;
+  guint i;
+
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    if (!fetch->slots[i].busy)
+      slots[count++] = &fetch->slots[i];
+  return count;
+}
+
+/* Several parts are asked for at once: a request for one takes 170 bytes, for 8 of them 390. */
 static void
 fill_slots (WmNode *node)
 {
   WmFetch *fetch = &node->config.fetch;
-  guint i;
+  WmSlot *slots[WM_FETCH_SLOTS];
+  guint available = list_free (fetch, slots);
+  guint used = 0;
 
-  for (i = 0; i < WM_FETCH_SLOTS && fetch->missing->len > 0; i++)
+  while (fetch->missing->len > 0 && available - used >= MIN (GROUP, fetch->missing->len))
     {
-      g_autofree gchar *hex = NULL;
-
-      if (fetch->slots[i].busy)
-        continue;
-      hex = g_ptr_array_steal_index_fast (fetch->missing, fetch->missing->len - 1);
-      begin_slot (node, &fetch->slots[i], hex);
+      guint count = MIN (GROUP, fetch->missing->len);
+      guint i;
+
+      for (i = 0; i < count; i++)
+        {
+          g_autofree gchar *hex =
+              g_ptr_array_steal_index_fast (fetch->missing, fetch->missing->len - 1);
+
+          begin_slot (slots[used + i], hex);
+        }
+      request_slots (node, slots + used, count);
+      used += count;
     }
 }
 
@@ -185,6 +241,7 @@
           wm_hash_from_hex (hashes->pdata[i], hash))
         g_ptr_array_add (fetch->missing, g_strdup (hashes->pdata[i]));
     }
+  fetch->many = fetch->missing->len > WM_FETCH_SLOTS;
   for (i = fetch->missing->len; i > 1; i--)
     {
       guint other = (guint) g_rand_int_range (node->random, 0, (gint32) i);
@@ -268,15 +325,34 @@
   finish_if_complete (node);
 }
 
-WmSlot *
-wm_fetch_find (WmNode *node, guint32 xid)
+gboolean
+wm_fetch_is_pending (const WmNode *node, guint32 xid)
 {
-  WmFetch *fetch = &node->config.fetch;
+  const WmFetch *fetch = &node->config.fetch;
   guint i;
 
   for (i = 0; i < WM_FETCH_SLOTS; i++)
     if (fetch->slots[i].busy && fetch->slots[i].xid == xid)
-      return &fetch->slots[i];
+      return TRUE;
+  return FALSE;
+}
+
+static WmSlot *
+find_slot (WmNode *node, guint32 xid, const ww_config_chunk *chunk)
+{
+  WmFetch *fetch = &node->config.fetch;
+  gchar hex[WM_HEX_BYTES];
+  guint i;
+
+  wm_hash_to_hex ((const guint8 *) chunk->hash, hex);
+  for (i = 0; i < WM_FETCH_SLOTS; i++)
+    {
+      WmSlot *slot = &fetch->slots[i];
+
+      if (slot->busy && slot->xid == xid &&
+          (slot->is_root || g_ascii_strcasecmp (slot->hex, hex) == 0))
+        return slot;
+    }
   return NULL;
 }
 
@@ -294,12 +370,30 @@
                              memcmp (chunk->hash, slot->hash, WM_HASH_BYTES) == 0));
 }
 
+/* The source does not have the object or is busy. A few others are asked at once; after that the
+ * slot waits, because each request takes from the budget. */
+static void
+refused (WmNode *node, WmSlot *slot)
+{
+  if (slot->tries < MAX_QUICK_TRIES)
+    {
+      retry_slot (node, slot);
+      return;
+    }
+  slot->xid = 0;
+  slot->due_us = node->now_us + g_rand_int_range (node->random, TIMEOUT_MIN_US, TIMEOUT_MAX_US);
+}
+
 void
-wm_fetch_chunk (WmNode *node, WmSlot *slot, const ww_config_chunk *chunk)
+wm_fetch_chunk (WmNode *node, guint32 xid, const ww_config_chunk *chunk)
 {
+  WmSlot *slot = find_slot (node, xid, chunk);
+
+  if (slot == NULL)
+    return;
   if (chunk->total == 0)
     {
-      retry_slot (node, slot);
+      refused (node, slot);
       return;
     }
   if (!chunk_fits (slot, chunk))
@@ -353,18 +447,40 @@
   reset (node);
   fetch->version = id->config_version;
   add_source (fetch, from);
-  begin_slot (node, &fetch->slots[0], NULL);
+  begin_root (node);
 }
 
+/* Parts that are overdue are asked for together again: one by one, a starting node with 240 parts
+ * spent its budget on requests and took 17 s. */
 void
 wm_fetch_tick (WmNode *node)
 {
   WmFetch *fetch = &node->config.fetch;
+  WmSlot *slots[GROUP];
+  guint count = 0;
   guint i;
 
   for (i = 0; i < WM_FETCH_SLOTS; i++)
-    if (fetch->slots[i].busy && fetch->slots[i].due_us <= node->now_us)
-      retry_slot (node, &fetch->slots[i]);
+    {
+      WmSlot *slot = &fetch->slots[i];
+
+      if (!slot->busy || slot->due_us > node->now_us)
+        continue;
+      if (slot->is_root || slot->buffer->len > 0)
+        {
+          retry_slot (node, slot);
+          continue;
+        }
+      slot->tries++;
+      slots[count++] = slot;
+      if (count == GROUP)
+        {
+          request_slots (node, slots, count);
+          count = 0;
+        }
+    }
+  if (count > 0)
+    request_slots (node, slots, count);
 }
 
 gint64
--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -292,7 +292,6 @@
 static gboolean
 receive_reply (WmNode *node, const WmContact *from, guint32 xid, const guint8 *body, gsize length)
 {
-  WmSlot *slot = wm_fetch_find (node, xid);
   gint probe = wm_probe_find (node, xid);
   ww_ack ack = { 0 };
   ww_members_reply members = { 0 };
@@ -315,11 +314,11 @@
       ww_body_clear ((xdrproc_t) xdr_ww_members_reply, &members);
       return TRUE;
     }
-  if (slot == NULL)
+  if (!wm_fetch_is_pending (node, xid))
     return FALSE;
   if (!decode (node, body, length, xdr_ww_config_chunk, &chunk))
     return TRUE;
-  wm_fetch_chunk (node, slot, &chunk);
+  wm_fetch_chunk (node, xid, &chunk);
   ww_body_clear ((xdrproc_t) xdr_ww_config_chunk, &chunk);
   return TRUE;
 }
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -212,7 +212,7 @@
 /** Objects of the platform's API are smaller. */
 #define WM_OBJECT_MAX (1 << 20)
 #define WM_ROOTS 4
-#define WM_FETCH_SLOTS 8
+#define WM_FETCH_SLOTS 32
 #define WM_FETCH_SOURCES 8
 
 typedef struct
@@ -251,6 +251,7 @@
   guint64 version;
   WmRoot root;
   GPtrArray *missing; /* of gchar: parts that no slot fetches */
+  gboolean many;      /* parts were missing */
   WmSlot slots[WM_FETCH_SLOTS];
   WmContact sources[WM_FETCH_SOURCES];
   guint n_sources;
@@ -441,8 +442,8 @@
 void wm_fetch_init (WmNode *node);
 void wm_fetch_stop (WmNode *node);
 void wm_fetch_heard (WmNode *node, const ww_config_id *id, const WmContact *from);
-WmSlot *wm_fetch_find (WmNode *node, guint32 xid);
-void wm_fetch_chunk (WmNode *node, WmSlot *slot, const ww_config_chunk *chunk);
+gboolean wm_fetch_is_pending (const WmNode *node, guint32 xid);
+void wm_fetch_chunk (WmNode *node, guint32 xid, const ww_config_chunk *chunk);
 void wm_fetch_tick (WmNode *node);
 gint64 wm_fetch_next_us (const WmNode *node);
 
--- a/wire/ww-proto.h
+++ b/wire/ww-proto.h
@@ -24,6 +24,7 @@
 #define WW_MAX_TEXT 1024
 #define WW_MAX_MEMBERS 21
 #define WW_MAX_NAME 64
+#define WW_MAX_FETCH 7
 
 enum ww_encap_kind {
 	WW_ENCAP_FORWARD = 1,
@@ -242,12 +243,21 @@
 };
 typedef struct ww_ack ww_ack;
 
+struct ww_hash {
+	char bytes[32];
+};
+typedef struct ww_hash ww_hash;
+
 struct ww_config_fetch {
 	u_quad_t sender_id;
 	u_quad_t config_version;
 	u_quad_t base_version;
 	char hash[32];
 	u_int offset;
+	struct {
+		u_int more_len;
+		ww_hash *more_val;
+	} more;
 };
 typedef struct ww_config_fetch ww_config_fetch;
 
@@ -367,6 +377,7 @@
 extern  bool_t xdr_ww_ping (XDR *, ww_ping*);
 extern  bool_t xdr_ww_ping_req (XDR *, ww_ping_req*);
 extern  bool_t xdr_ww_ack (XDR *, ww_ack*);
+extern  bool_t xdr_ww_hash (XDR *, ww_hash*);
 extern  bool_t xdr_ww_config_fetch (XDR *, ww_config_fetch*);
 extern  bool_t xdr_ww_config_chunk (XDR *, ww_config_chunk*);
 extern  bool_t xdr_ww_status_reply (XDR *, ww_status_reply*);
@@ -404,6 +415,7 @@
 extern bool_t xdr_ww_ping ();
 extern bool_t xdr_ww_ping_req ();
 extern bool_t xdr_ww_ack ();
+extern bool_t xdr_ww_hash ();
 extern bool_t xdr_ww_config_fetch ();
 extern bool_t xdr_ww_config_chunk ();
 extern bool_t xdr_ww_status_reply ();
--- a/wire/ww-proto.x
+++ b/wire/ww-proto.x
@@ -15,6 +15,7 @@
 const WW_MAX_TEXT = 1024;
 const WW_MAX_MEMBERS = 21;
 const WW_MAX_NAME = 64;
+const WW_MAX_FETCH = 7;
 
 /* Data plane: header in front of an IP packet. */
 
@@ -217,14 +218,19 @@
 
 /*
  * A hash of zeros asks for the root object of config_version, as the difference from the root object of base_version
- * when the sender of the reply still has that one.
+ * when the sender of the reply still has that one. more names further parts, each of which gets its own reply.
  */
+struct ww_hash {
+  opaque bytes[32];
+};
+
 struct ww_config_fetch {
   unsigned hyper sender_id;
   unsigned hyper config_version;
   unsigned hyper base_version;
   opaque hash[32];
   unsigned offset;
+  ww_hash more<WW_MAX_FETCH>;
 };
 
 /* total is 0 when the sender does not have the object; base_version is 0 when the data is the object itself. */
--- a/wire/ww-proto_xdr.c
+++ b/wire/ww-proto_xdr.c
@@ -563,6 +563,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ww_hash (XDR *xdrs, ww_hash *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->bytes, 32))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ww_config_fetch (XDR *xdrs, ww_config_fetch *objp)
 {
@@ -579,6 +590,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->more.more_val, (u_int *) &objp->more.more_len, WW_MAX_FETCH,
+		sizeof (ww_hash), (xdrproc_t) xdr_ww_hash))
+		 return FALSE;
 	return TRUE;
 }
 
