Settle repeated initial packets between deferring endpoints

The random schedules showed clients left without an answer after an initial packet was placed twice. Causes fixed: a placement on an endpoint that had deferred the same packet travelled back and forth to the hop limit; a deferred packet that crossed the placement on its sender looked like a packet sent back by the holder; withdrawals waited in a batch after the flow had come back; a tombstone pointed at an endpoint that had sent the packet back; a restarted agent that knew only itself placed flows that others held. A server that answers a repeated initial packet with an established connection now counts as a recovery.

Ruled out: a longer deferral period, because the second placement came within milliseconds.

--- a/flow/wf-agent.c
+++ b/flow/wf-agent.c
@@ -203,6 +203,7 @@
   for (i = 0; i < agent->endpoints->len; i++)
     g_array_index (agent->ids, guint64, i) = g_array_index (agent->endpoints, WfEndpoint, i).id;
   set_peers (agent);
+  agent->view_known = TRUE;
   if (same_view (previous, agent->endpoints))
     return;
   agent->view_us = now_us;
--- a/flow/wf-counter.c
+++ b/flow/wf-counter.c
@@ -30,6 +30,7 @@
   { "flow_chain_end", "Packets dropped because no endpoint holds their flow." },
   { "flow_hop_limit", "Packets dropped at the hop limit." },
   { "flow_syn_payload", "Initial packets dropped because they carry payload." },
+  { "flow_not_ready", "Packets of unknown flows dropped before the endpoints are known." },
   { "flow_stale_initial", "Initial packets dropped just after a pause." },
   { "flow_other_handshake", "Packets that acknowledge another server's initial packet." },
   { "flow_queue_expired", "Queued initial packets discarded after a pause." },
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -54,6 +54,7 @@
   WF_COUNTER_CHAIN_END,
   WF_COUNTER_HOP_LIMIT,
   WF_COUNTER_SYN_PAYLOAD,
+  WF_COUNTER_NOT_READY,
   WF_COUNTER_STALE_INITIAL,
   WF_COUNTER_OTHER_HANDSHAKE,
   WF_COUNTER_QUEUE_EXPIRED,
@@ -187,6 +188,7 @@
   gint64 flush_us;
   gint64 refresh_us;
   guint32 refresh_cursor;
+  gboolean view_known; /* wf_agent_set_endpoints() was called */
   gboolean draining;
   guint held;
   guint waiting;
--- a/flow/wf-register.c
+++ b/flow/wf-register.c
@@ -9,6 +9,29 @@
  * a queued initial packet. */
 #define PLACED_LIFE_US (60 * WB_US_PER_S)
 
+static gboolean
+is_registrable (const WfFlow *flow)
+{
+  return flow->state == WF_FLOW_HELD || flow->state == WF_FLOW_WAITING ||
+         flow->state == WF_FLOW_REFUSING;
+}
+
+/* A flow that came back while its withdrawal waited in the batch is still registered. */
+static void
+drop_held (WfAgent *agent, WfBatch *batch)
+{
+  guint i;
+
+  for (i = batch->count; i > 0; i--)
+    {
+      WwFlowKey key = ww_flow_key_from_wire (&batch->flows[i - 1].flow);
+      const WfFlow *flow = wf_table_find (agent->flows, &key, NULL);
+
+      if (flow != NULL && is_registrable (flow))
+        batch->flows[i - 1] = batch->flows[--batch->count];
+    }
+}
+
 static void
 send_batch (WfAgent *agent, WfBatch *batch)
 {
@@ -16,6 +39,10 @@
   const WfEndpoint *self = NULL;
   guint i;
 
+  if (batch->kind == WW_PEER_UNREGISTER)
+    drop_held (agent, batch);
+  if (batch->count == 0)
+    return;
   for (i = 0; i < agent->endpoints->len && self == NULL; i++)
     if (g_array_index (agent->endpoints, WfEndpoint, i).id == agent->self_id)
       self = &g_array_index (agent->endpoints, WfEndpoint, i);
@@ -81,13 +108,6 @@
   agent->flush_us = WB_NEVER;
 }
 
-static gboolean
-is_registrable (const WfFlow *flow)
-{
-  return flow->state == WF_FLOW_HELD || flow->state == WF_FLOW_WAITING ||
-         flow->state == WF_FLOW_REFUSING;
-}
-
 /* Adds the flow to the registrations for its home. Returns whether its home is elsewhere. */
 static gboolean
 collect (WfAgent *agent, WfFlow *flow)
--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -193,8 +193,10 @@
 
   if (entry == NULL || entry->holder_id == agent->self_id)
     return 0;
-  /* The holder itself sends the packet back: it does not hold the flow. */
-  if (entry->holder_id == input->header.sender_id)
+  /* The holder itself sends the packet back: it does not hold the flow. A deferred initial packet
+   * may have crossed the placement on its sender. */
+  if (entry->holder_id == input->header.sender_id &&
+      !(is_initial (input) && input->header.kind == WW_ENCAP_CHAIN))
     {
       wf_table_remove (agent->registry, handle);
       return 0;
@@ -210,8 +212,14 @@
 void
 wf_route_unknown (WfAgent *agent, WfInput *input)
 {
-  guint64 holder_id = registered_holder (agent, input);
+  guint64 holder_id;
 
+  if (!agent->view_known)
+    {
+      wf_count (agent, WF_COUNTER_NOT_READY);
+      return;
+    }
+  holder_id = registered_holder (agent, input);
   if (is_initial (input) && input->packet.payload_length > 0)
     {
       wf_count (agent, WF_COUNTER_SYN_PAYLOAD);
@@ -235,20 +243,27 @@
 along_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, WfInput *input)
 {
   guint64 peer_id = flow->peer_id;
-  gboolean granted_back =
-      input->header.kind == WW_ENCAP_GRANT && input->header.sender_id == peer_id;
-
-  if (granted_back || (is_initial (input) && wf_view_lost (agent, peer_id)))
+  gboolean initial = is_initial (input);
+  gboolean placed_here = input->header.kind == WW_ENCAP_PLACE ||
+                         input->header.kind == WW_ENCAP_GRANT ||
+                         input->header.kind == WW_ENCAP_TO_HOLDER;
+  gboolean outdated;
+
+  /* The peer sends the packet back, is lost, or has placed the flow on this endpoint. */
+  outdated = input->header.sender_id == peer_id && input->header.kind != WW_ENCAP_CHAIN;
+  if (initial &&
+      (wf_view_lost (agent, peer_id) || ((flow->flags & WF_FLAG_DEFERRED) && placed_here)))
+    outdated = TRUE;
+  if (outdated)
     {
       wf_flow_remove (agent, handle);
       wf_route_unknown (agent, input);
       return;
     }
   wf_count (agent, WF_COUNTER_FORWARDED_HOLDER);
-  wf_route_forward (agent, input,
-                    is_initial (input) && (flow->flags & WF_FLAG_DEFERRED) ? WW_ENCAP_CHAIN
-                                                                           : WW_ENCAP_TO_HOLDER,
-                    peer_id);
+  wf_route_forward (
+      agent, input,
+      initial && (flow->flags & WF_FLAG_DEFERRED) ? WW_ENCAP_CHAIN : WW_ENCAP_TO_HOLDER, peer_id);
 }
 
 /* A client that gives up while its initial packet waits frees its place. */
--- a/flow/wf-turn.c
+++ b/flow/wf-turn.c
@@ -218,10 +218,9 @@
           return;
         }
     }
-  else if ((flow->flags & (WF_FLAG_REQUEST | WF_FLAG_CLOSED)) == 0 && is_early_fin (flow, packet))
-    return;
   else if ((flow->flags & (WF_FLAG_REQUEST | WF_FLAG_CLOSED)) == 0 &&
-           has_new_payload (flow, packet) && !start_request (agent, flow, handle, input))
+           (is_early_fin (flow, packet) ||
+            (has_new_payload (flow, packet) && !start_request (agent, flow, handle, input))))
     return;
   deliver_tracked (agent, flow, handle, input);
 }
@@ -244,6 +243,13 @@
 {
   guint32 end = packet->sequence + ww_packet_sequence_length (packet);
 
+  if ((flow->flags & WF_FLAG_ANSWERED) == 0 && (packet->tcp_flags & (WW_TCP_SYN | WW_TCP_RST)) == 0)
+    {
+      /* The server had the connection already: an agent that restarted took a repeated initial
+       * packet for a new one. What was delivered before is unknown. */
+      flow->flags |= WF_FLAG_CONFIRMED | WF_FLAG_DELIVERED | WF_FLAG_UNCERTAIN;
+      flow->client_next = flow->server_ack = packet->acknowledgment;
+    }
   if ((flow->flags & WF_FLAG_ANSWERED) == 0)
     {
       flow->flags |= WF_FLAG_ANSWERED;
--- a/flow/wf.h
+++ b/flow/wf.h
@@ -53,7 +53,8 @@
 /**
  * wf_agent_set_endpoints() - all endpoints of the service that are not dead, the own one included
  *
- * Sends the registrations that moved homes require.
+ * Sends the registrations that moved homes require. Before the first call, packets of unknown flows
+ * are dropped: an agent that knows only itself would place flows that others hold.
  */
 void
 wf_agent_set_endpoints (WfAgent *agent, const WfEndpoint *endpoints, guint count, gint64 now_us);
--- a/tests/flow-world.c
+++ b/tests/flow-world.c
@@ -409,8 +409,7 @@
 
   if (world->trace < 0)
     return;
-  if (event->kind < VIEW_AGENT && event->kind == TO_AGENT &&
-      !ww_encap_parse (data, length, &header, &data, &length))
+  if (event->kind == TO_AGENT && !ww_encap_parse (data, length, &header, &data, &length))
     return;
   if (event->kind < VIEW_AGENT && (ww_packet_parse (data, length, &packet) != WW_PACKET_OK ||
                                    ((packet.source_address & 0xff) != (guint) world->trace &&
