Shorten reservations that clients do not use

Cause: a client that sends its first payload 200 ms after its initial packet wastes the whole 100 ms reservation.

Change: when fewer than half of the reservations were followed by a payload in time (mean over 32), a reservation lasts 10 ms; every 16th stays full, to notice when clients change.

Ruled out: nothing.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -70,7 +70,9 @@
   admission->mean_service_us[WC_CLASS_SHORT] = INITIAL_SHORT_US;
   admission->mean_service_us[WC_CLASS_LONG] = INITIAL_LONG_US;
   admission->mean_service_us[WC_CLASS_MIXED] = INITIAL_MIXED_US;
-  g_queue_init (&admission->reserved);
+  g_queue_init (&admission->reserved[0]);
+  g_queue_init (&admission->reserved[1]);
+  admission->reserve_used = 1;
   g_queue_init (&admission->placing);
   for (level = 0; level < WA_N_LEVELS; level++)
     {
@@ -233,7 +235,8 @@
     return arrive (admission, flow, class, tenant, FALSE, retry_after_s, now_us);
   if (entry->state == WA_ENTRY_RESERVED)
     {
-      g_queue_unlink (&admission->reserved, &entry->by_age);
+      g_queue_unlink (&admission->reserved[entry->brief], &entry->by_age);
+      wa_slots_reserve_used (admission, entry, TRUE);
       entry->state = WA_ENTRY_BUSY;
       entry->requested_us = now_us;
     }
@@ -309,14 +312,19 @@
 wa_admission_next_us (const WaAdmission *admission)
 {
   gint64 next_us = WB_NEVER;
+  guint i;
 
   if (admission->placing.head != NULL)
     next_us = MIN (next_us, ((WaPlacement *) admission->placing.head->data)->due_us);
   if (admission->pulls->len > 0)
     next_us = MIN (next_us, g_array_index (admission->pulls, WaPull, 0).due_us);
-  if (admission->reserved.head != NULL)
-    next_us = MIN (next_us, ((WaEntry *) admission->reserved.head->data)->started_us +
-                                admission->open_reserve_us);
+  for (i = 0; i < G_N_ELEMENTS (admission->reserved); i++)
+    if (admission->reserved[i].head != NULL)
+      {
+        const WaEntry *entry = admission->reserved[i].head->data;
+
+        next_us = MIN (next_us, entry->started_us + wa_slots_reserve_time (admission, entry));
+      }
   if (wa_queue_length (admission) > 0)
     next_us = MIN (next_us, admission->swept_us + WA_SWEEP_INTERVAL_US);
   return next_us;
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -45,6 +45,7 @@
   WcClass class;
   guint tenant;
   gboolean answered;
+  gboolean brief; /* reservation shorter than open_reserve */
   gint64 queued_us;
   gint64 started_us;
   gint64 requested_us; /* first payload */
@@ -137,7 +138,9 @@
 
   GHashTable *entries; /* of WaEntry by flow */
   guint in_use[WA_N_LEVELS];
-  GQueue reserved;
+  GQueue reserved[2];   /* in order of expiry: full and brief reservations */
+  gdouble reserve_used; /* share of the reservations that a payload followed in time */
+  guint reserve_probe;  /* counts reservations, to keep some of them long */
 
   GPtrArray *tenants[WA_N_LEVELS]; /* of WaTenant */
   GQueue by_age[WA_N_LEVELS];
@@ -200,6 +203,8 @@
 gboolean wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us);
 void wa_slots_take (WaAdmission *admission, WaEntry *entry, WaEntryState state, gint64 now_us);
 void wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us);
+gint64 wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry);
+void wa_slots_reserve_used (WaAdmission *admission, const WaEntry *entry, gboolean used);
 void wa_slots_expire (WaAdmission *admission, gint64 now_us);
 
 /* wa-queue.c */
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -1,5 +1,12 @@
 #include "wa-private.h"
 
+/* Where most clients send their first payload after the reservation has ended, it only wastes the
+ * slot. Most reservations are then brief; every 16th stays full, to notice when clients change. */
+#define BRIEF_RESERVE_US (10 * WB_US_PER_MS)
+#define BRIEF_BELOW 0.5
+#define FULL_RESERVE_EVERY 16
+#define RESERVE_SHARE 32
+
 WaLevel
 wa_level (WcClass class)
 {
@@ -71,8 +78,11 @@
   admission->in_use[level]++;
   if (state == WA_ENTRY_BUSY)
     entry->requested_us = now_us;
-  if (state == WA_ENTRY_RESERVED)
-    g_queue_push_tail_link (&admission->reserved, &entry->by_age);
+  if (state != WA_ENTRY_RESERVED)
+    return;
+  entry->brief =
+      admission->reserve_used < BRIEF_BELOW && ++admission->reserve_probe % FULL_RESERVE_EVERY != 0;
+  g_queue_push_tail_link (&admission->reserved[entry->brief], &entry->by_age);
 }
 
 /* Frees the entry's slot and the entry. The tenant is charged what it really used. */
@@ -85,7 +95,7 @@
 
   wa_predict_short_use (admission, now_us);
   if (entry->state == WA_ENTRY_RESERVED)
-    g_queue_unlink (&admission->reserved, &entry->by_age);
+    g_queue_unlink (&admission->reserved[entry->brief], &entry->by_age);
   tenant->service_us += (gdouble) (used_us - entry->charged_us) / tenant->weight;
   tenant->in_use--;
   admission->in_use[level]--;
@@ -95,20 +105,43 @@
   g_hash_table_remove (admission->entries, &entry->flow);
 }
 
+gint64
+wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry)
+{
+  return entry->brief ? MIN (BRIEF_RESERVE_US, admission->open_reserve_us)
+                      : admission->open_reserve_us;
+}
+
+/* Only full reservations tell whether clients send in time. */
 void
-wa_slots_expire (WaAdmission *admission, gint64 now_us)
+wa_slots_reserve_used (WaAdmission *admission, const WaEntry *entry, gboolean used)
+{
+  if (!entry->brief)
+    admission->reserve_used += ((used ? 1 : 0) - admission->reserve_used) / RESERVE_SHARE;
+}
+
+static void
+expire (WaAdmission *admission, GQueue *reserved, gint64 now_us)
 {
   GList *head;
 
-  while ((head = admission->reserved.head) != NULL)
+  while ((head = reserved->head) != NULL)
     {
       WaEntry *entry = head->data;
 
-      if (now_us - entry->started_us < admission->open_reserve_us)
+      if (now_us - entry->started_us < wa_slots_reserve_time (admission, entry))
         return;
       wb_counters_add (admission->counters, WA_COUNTER_RESERVE_EXPIRED, 1);
+      wa_slots_reserve_used (admission, entry, FALSE);
       if (!entry->answered)
         wa_evidence_unanswered (admission, now_us);
       wa_slots_release (admission, entry, now_us);
     }
 }
+
+void
+wa_slots_expire (WaAdmission *admission, gint64 now_us)
+{
+  expire (admission, &admission->reserved[0], now_us);
+  expire (admission, &admission->reserved[1], now_us);
+}
