Count the wait of the initial packet against the first request

Cause: after an expired reservation the first request started a new deadline, so a client could wait for twice the deadline. Reading the code also showed that a draining endpoint, or one whose server does not answer, admitted initial packets placed on it by a home that did not know.

Change: a flow whose first payload is late keeps its wait for one deadline after the reservation. Initial packets that reach a draining endpoint are queued and handed over by the next tick, which is due at once, as long as a peer takes flows.

Two cases are added to the tests, which pass.

Ruled out: granting inside wa_admission_open(); the caller does not expect a grant before the verdict.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -70,6 +70,7 @@
   admission->mean_service_us[WC_CLASS_SHORT] = INITIAL_SHORT_US;
   admission->mean_service_us[WC_CLASS_LONG] = INITIAL_LONG_US;
   admission->mean_service_us[WC_CLASS_MIXED] = INITIAL_MIXED_US;
+  g_queue_init (&admission->opened);
   g_queue_init (&admission->reserved[0]);
   g_queue_init (&admission->reserved[1]);
   admission->reserve_used = 1;
@@ -167,42 +168,49 @@
   return entry;
 }
 
-/* The common part of initial packets and later requests. */
 static WaVerdict
-arrive (WaAdmission *admission,
-        WbHandle flow,
-        WcClass class,
-        guint tenant,
-        gboolean initial,
-        guint *retry_after_s,
-        gint64 now_us)
+admit_now (WaAdmission *admission,
+           WbHandle flow,
+           WcClass class,
+           guint tenant,
+           gboolean initial,
+           gint64 now_us)
 {
-  WaLevel level = wa_level (class);
-  WaEntry *entry;
+  WaEntry *entry = add_entry (admission, flow, class, tenant);
+
+  wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
+  wb_histogram_record (wa_tenant (admission, wa_level (class), entry->tenant)->wait[class], 0);
+  wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
+  return WA_ADMITTED;
+}
+
+static WaVerdict
+queue_up (WaAdmission *admission,
+          WbHandle flow,
+          WcClass class,
+          guint tenant,
+          gboolean initial,
+          gint64 waited_us,
+          gint64 now_us)
+{
+  WaEntry *entry = add_entry (admission, flow, class, tenant);
 
-  if (wa_slots_free (admission, level, now_us))
-    {
-      entry = add_entry (admission, flow, class, tenant);
-      wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
-      wb_histogram_record (wa_tenant (admission, level, tenant)->wait[class], 0);
-      wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
-      return WA_ADMITTED;
-    }
-  if (wa_refuse_on_arrival (admission, class, tenant, now_us))
-    {
-      if (retry_after_s != NULL)
-        *retry_after_s = wa_refuse_retry_after (admission, now_us);
-      return WA_REFUSED;
-    }
-  entry = add_entry (admission, flow, class, tenant);
   entry->state = initial ? WA_ENTRY_WAITING_OPEN : WA_ENTRY_WAITING_REQUEST;
-  entry->queued_us = now_us;
+  entry->queued_us = now_us - waited_us;
   wa_queue_push (admission, entry);
   if (initial)
     wa_pull_offer (admission, now_us);
   return WA_QUEUED;
 }
 
+static WaVerdict
+refuse_now (WaAdmission *admission, guint *retry_after_s, gint64 now_us)
+{
+  if (retry_after_s != NULL)
+    *retry_after_s = wa_refuse_retry_after (admission, now_us);
+  return WA_REFUSED;
+}
+
 WaVerdict
 wa_admission_open (WaAdmission *admission,
                    WbHandle flow,
@@ -211,14 +219,23 @@
                    guint *retry_after_s,
                    gint64 now_us)
 {
-  const WaEntry *entry = wa_entry_get (admission, flow);
+  const WaEntry *entry;
+  gboolean hand_over = wa_pull_hands_over (admission, now_us);
 
   wa_place_cancel (admission, flow);
+  wa_slots_forget_opened (admission, flow);
+  entry = wa_entry_get (admission, flow);
   if (entry != NULL)
-    return entry->state == WA_ENTRY_RESERVED || entry->state == WA_ENTRY_BUSY ? WA_ADMITTED
-                                                                              : WA_QUEUED;
+    return wa_entry_waits (entry) ? WA_QUEUED : WA_ADMITTED;
   wa_pull_settle (admission);
-  return arrive (admission, flow, class, tenant, TRUE, retry_after_s, now_us);
+  if (!hand_over && wa_slots_free (admission, wa_level (class), now_us))
+    return admit_now (admission, flow, class, tenant, TRUE, now_us);
+  if (wa_refuse_on_arrival (admission, class, tenant, 0, now_us))
+    return refuse_now (admission, retry_after_s, now_us);
+  /* Handed over by the next tick, because the caller does not expect a grant before this returns.
+   */
+  admission->hand_over_due |= hand_over;
+  return queue_up (admission, flow, class, tenant, TRUE, 0, now_us);
 }
 
 WaVerdict
@@ -229,10 +246,15 @@
                       guint *retry_after_s,
                       gint64 now_us)
 {
+  gint64 waited_us = wa_slots_forget_opened (admission, flow);
   WaEntry *entry = wa_entry_get (admission, flow);
 
+  if (entry == NULL && wa_slots_free (admission, wa_level (class), now_us))
+    return admit_now (admission, flow, class, tenant, FALSE, now_us);
+  if (entry == NULL && wa_refuse_on_arrival (admission, class, tenant, waited_us, now_us))
+    return refuse_now (admission, retry_after_s, now_us);
   if (entry == NULL)
-    return arrive (admission, flow, class, tenant, FALSE, retry_after_s, now_us);
+    return queue_up (admission, flow, class, tenant, FALSE, waited_us, now_us);
   if (entry->state == WA_ENTRY_RESERVED)
     {
       g_queue_unlink (&admission->reserved[entry->brief], &entry->by_age);
@@ -249,6 +271,7 @@
 {
   WaEntry *entry;
 
+  wa_slots_forget_opened (admission, flow);
   if (wa_entry_get (admission, flow) != NULL)
     return;
   entry = add_entry (admission, flow, class, tenant);
@@ -280,9 +303,11 @@
 void
 wa_admission_remove (WaAdmission *admission, WbHandle flow, gint64 now_us)
 {
-  WaEntry *entry = wa_entry_get (admission, flow);
+  WaEntry *entry;
 
   wa_place_cancel (admission, flow);
+  wa_slots_forget_opened (admission, flow);
+  entry = wa_entry_get (admission, flow);
   if (entry == NULL)
     return;
   if (entry->state == WA_ENTRY_BUSY || entry->state == WA_ENTRY_RESERVED)
@@ -303,7 +328,8 @@
   wa_pull_expire (admission, now_us);
   wa_slots_expire (admission, now_us);
   wa_refuse_sweep (admission, now_us);
-  if (admission->draining || wa_evidence_not_answering (admission, now_us))
+  admission->hand_over_due = FALSE;
+  if (wa_pull_hands_over (admission, now_us))
     wa_pull_hand_over (admission, now_us);
   wa_queue_dispatch (admission, now_us);
 }
@@ -314,6 +340,8 @@
   gint64 next_us = WB_NEVER;
   guint i;
 
+  if (admission->hand_over_due)
+    return admission->swept_us;
   if (admission->placing.head != NULL)
     next_us = MIN (next_us, ((WaPlacement *) admission->placing.head->data)->due_us);
   if (admission->pulls->len > 0)
@@ -325,6 +353,9 @@
 
         next_us = MIN (next_us, entry->started_us + wa_slots_reserve_time (admission, entry));
       }
+  if (admission->opened.head != NULL)
+    next_us = MIN (next_us,
+                   ((WaEntry *) admission->opened.head->data)->started_us + admission->deadline_us);
   if (wa_queue_length (admission) > 0)
     next_us = MIN (next_us, admission->swept_us + WA_SWEEP_INTERVAL_US);
   return next_us;
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -35,6 +35,7 @@
   WA_ENTRY_WAITING_REQUEST,
   WA_ENTRY_RESERVED,
   WA_ENTRY_BUSY,
+  WA_ENTRY_OPENED, /* no slot: the first payload did not come within the reservation */
 } WaEntryState;
 
 /* A flow that waits or uses a slot. */
@@ -47,6 +48,7 @@
   gboolean answered;
   gboolean brief; /* reservation shorter than open_reserve */
   gint64 queued_us;
+  gint64 waited_us; /* as an initial packet */
   gint64 started_us;
   gint64 requested_us; /* first payload */
   gint64 charged_us;   /* service time that the tenant was charged in advance */
@@ -139,6 +141,7 @@
   GHashTable *entries; /* of WaEntry by flow */
   guint in_use[WA_N_LEVELS];
   GQueue reserved[2];   /* in order of expiry: full and brief reservations */
+  GQueue opened;        /* in order of the end of the reservation */
   gdouble reserve_used; /* share of the reservations that a payload followed in time */
   guint reserve_probe;  /* counts reservations, to keep some of them long */
 
@@ -147,6 +150,7 @@
   guint waiting_by_class[WC_N_CLASSES];
   gboolean last_was_aged;
   gint64 swept_us;
+  gboolean hand_over_due;
   gint64 mean_service_us[WC_N_CLASSES];
   gdouble short_use; /* slots used by short work, averaged up to short_use_us */
   gint64 short_use_us;
@@ -205,6 +209,7 @@
 void wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us);
 gint64 wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry);
 void wa_slots_reserve_used (WaAdmission *admission, const WaEntry *entry, gboolean used);
+gint64 wa_slots_forget_opened (WaAdmission *admission, WbHandle flow);
 void wa_slots_expire (WaAdmission *admission, gint64 now_us);
 
 /* wa-queue.c */
@@ -225,7 +230,8 @@
 
 /* wa-refuse.c */
 guint wa_refuse_retry_after (WaAdmission *admission, gint64 now_us);
-gboolean wa_refuse_on_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us);
+gboolean wa_refuse_on_arrival (
+    WaAdmission *admission, WcClass class, guint tenant, gint64 waited_us, gint64 now_us);
 void wa_refuse_sweep (WaAdmission *admission, gint64 now_us);
 
 /* wa-evidence.c */
@@ -257,4 +263,5 @@
 void wa_pull_settle (WaAdmission *admission);
 void wa_pull_expire (WaAdmission *admission, gint64 now_us);
 void wa_pull_answer (WaAdmission *admission, WaPeer *peer, const ww_pull *pull, gint64 now_us);
+gboolean wa_pull_hands_over (const WaAdmission *admission, gint64 now_us);
 void wa_pull_hand_over (WaAdmission *admission, gint64 now_us);
--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -227,6 +227,15 @@
   return best;
 }
 
+/* Whether queued initial packets go to peers: the own server takes no new flows, and a peer does.
+ */
+gboolean
+wa_pull_hands_over (const WaAdmission *admission, gint64 now_us)
+{
+  return (admission->draining || wa_evidence_not_answering (admission, now_us)) &&
+         least_loaded_peer (admission) != NULL;
+}
+
 /* A draining endpoint distributes its queued initial packets over its peers. */
 void
 wa_pull_hand_over (WaAdmission *admission, gint64 now_us)
--- a/admission/wa-refuse.c
+++ b/admission/wa-refuse.c
@@ -65,9 +65,10 @@
 }
 
 gboolean
-wa_refuse_on_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us)
+wa_refuse_on_arrival (
+    WaAdmission *admission, WcClass class, guint tenant, gint64 waited_us, gint64 now_us)
 {
-  if (wa_predict_arrival (admission, class, tenant, now_us) > admission->deadline_us)
+  if (waited_us + wa_predict_arrival (admission, class, tenant, now_us) > admission->deadline_us)
     {
       wb_counters_add (admission->counters, WA_COUNTER_REFUSED_PREDICTED, 1);
       return TRUE;
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -85,9 +85,9 @@
   g_queue_push_tail_link (&admission->reserved[entry->brief], &entry->by_age);
 }
 
-/* Frees the entry's slot and the entry. The tenant is charged what it really used. */
-void
-wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us)
+/* The tenant is charged what it really used. */
+static void
+free_slot (WaAdmission *admission, WaEntry *entry, gint64 now_us)
 {
   WaLevel level = wa_level (entry->class);
   WaTenant *tenant = wa_tenant (admission, level, entry->tenant);
@@ -102,9 +102,31 @@
   wa_predict_record (admission, entry->class, used_us);
   if (entry->state == WA_ENTRY_BUSY && entry->requested_us != 0)
     wa_evidence_service (admission, entry->class, now_us - entry->requested_us);
+}
+
+/* Frees the entry's slot and the entry. */
+void
+wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us)
+{
+  free_slot (admission, entry, now_us);
   g_hash_table_remove (admission->entries, &entry->flow);
 }
 
+/* Forgets a flow whose first payload is late. Return: its wait as an initial packet, or 0. */
+gint64
+wa_slots_forget_opened (WaAdmission *admission, WbHandle flow)
+{
+  WaEntry *entry = wa_entry_get (admission, flow);
+  gint64 waited_us;
+
+  if (entry == NULL || entry->state != WA_ENTRY_OPENED)
+    return 0;
+  waited_us = entry->waited_us;
+  g_queue_unlink (&admission->opened, &entry->by_age);
+  g_hash_table_remove (admission->entries, &flow);
+  return waited_us;
+}
+
 gint64
 wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry)
 {
@@ -135,7 +157,27 @@
       wa_slots_reserve_used (admission, entry, FALSE);
       if (!entry->answered)
         wa_evidence_unanswered (admission, now_us);
-      wa_slots_release (admission, entry, now_us);
+      free_slot (admission, entry, now_us);
+      entry->state = WA_ENTRY_OPENED;
+      entry->started_us = now_us;
+      g_queue_push_tail_link (&admission->opened, &entry->by_age);
+    }
+}
+
+/* The wait of an initial packet counts against the deadline of a first request that comes within
+ * that deadline: to the client both are one wait. */
+static void
+forget_old (WaAdmission *admission, gint64 now_us)
+{
+  GList *head;
+
+  while ((head = admission->opened.head) != NULL)
+    {
+      const WaEntry *entry = head->data;
+
+      if (now_us - entry->started_us < admission->deadline_us)
+        return;
+      wa_slots_forget_opened (admission, entry->flow);
     }
 }
 
@@ -144,4 +186,5 @@
 {
   expire (admission, &admission->reserved[0], now_us);
   expire (admission, &admission->reserved[1], now_us);
+  forget_old (admission, now_us);
 }
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -255,6 +255,38 @@
   net_place (net, 0, 6, 0);
   net_deliver_all (net, 1);
   g_assert_cmpuint (net->placed_on[6], >, 1);
+  net_done (net, 0, 5);
+  g_assert_cmpint (net_open (net, 0, 7, WC_CLASS_SHORT, 0), ==, WA_QUEUED);
+  g_assert_cmpint (wa_admission_next_us (net->admissions[0]), <=, net->now_us);
+  net_advance (net, 0, 0);
+  g_assert_cmpint (net->states[0][7], ==, GRANTED);
+}
+
+/* Guards against a client that waits for twice the deadline, first with its initial packet and then
+ * with its first request. */
+static void
+test_late_payload (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+
+  net->service->deadline_us = 2 * S;
+  net_restart (net, 0, FALSE);
+  net_occupy (net, 0, 1, WC_CLASS_SHORT);
+  net_open (net, 0, 2, WC_CLASS_SHORT, 0);
+  net_advance (net, 0, 1500 * MS);
+  net_done (net, 0, 1);
+  g_assert_cmpint (net->states[0][2], ==, OPEN);
+  wa_admission_answered (net->admissions[0], net_handle (2), net->now_us);
+  net_advance (net, 0, 100 * MS);
+  net_occupy (net, 0, 3, WC_CLASS_SHORT);
+  g_assert_cmpint (wa_admission_request (net->admissions[0], net_handle (2), WC_CLASS_SHORT, 0,
+                                         &net->retry_after_s, net->now_us),
+                   ==, WA_QUEUED);
+  net->states[0][2] = WAITING;
+  net_advance (net, 0, 400 * MS);
+  g_assert_cmpint (net->states[0][2], ==, WAITING);
+  net_advance (net, 0, 200 * MS);
+  g_assert_cmpint (net->states[0][2], ==, REFUSED);
 }
 
 /* Guards against places and slots that stay taken by clients that have gone. */
@@ -516,6 +548,7 @@
   g_test_add_func ("/admission/pull", test_pull);
   g_test_add_func ("/admission/two-pulls", test_two_pulls);
   g_test_add_func ("/admission/drain", test_drain);
+  g_test_add_func ("/admission/late-payload", test_late_payload);
   g_test_add_func ("/admission/client-gone", test_client_gone);
   g_test_add_func ("/admission/cold-start", test_cold_start);
   g_test_add_func ("/admission/not-answering", test_not_answering);
