--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -35,6 +35,7 @@
   WA_ENTRY_WAITING_REQUEST,
   WA_ENTRY_RESERVED,
   WA_ENTRY_BUSY,
+  WA_ENTRY_OPENED, /* no slot: the first payload did not come within the reservation */
 } WaEntryState;
 
 /* A flow that waits or uses a slot. */
@@ -45,11 +46,14 @@
   WcClass class;
   guint tenant;
   gboolean answered;
+  gboolean brief; /* reservation shorter than open_reserve */
   gint64 queued_us;
+  gint64 waited_us; /* as an initial packet */
   gint64 started_us;
-  gint64 charged_us; /* service time that the tenant was charged in advance */
-  GList by_age;      /* in WaAdmission.by_age, or in .reserved */
-  GList by_tenant;   /* in WaTenant.waiting */
+  gint64 requested_us; /* first payload */
+  gint64 charged_us;   /* service time that the tenant was charged in advance */
+  GList by_age;        /* in WaAdmission.by_age, or in .reserved */
+  GList by_tenant;     /* in WaTenant.waiting */
 } WaEntry;
 
 /* A tenant's share of one level. */
@@ -59,6 +63,7 @@
   gdouble service_us; /* received so far, divided by the weight */
   guint in_use;
   GQueue waiting;
+  guint waiting_by_class[WC_N_CLASSES];
   WbHistogram *wait[WC_N_CLASSES];
 } WaTenant;
 
@@ -72,19 +77,33 @@
   guint placed;       /* flows placed on the peer by this endpoint */
   guint32 pull_ids[WA_PULL_IDS];
   guint next_pull_id;
+  gint64 offered_us;
+  guint contradictions;
+  gint64 contradicted_us;
+  gint64 distrust_us;
+  gint64 distrusted_until_us;
 } WaPeer;
 
+/* Time from the first payload to the end of the response, of one class. */
+typedef struct
+{
+  guint64 samples;
+  gdouble mean_steps; /* of the logarithm: see wa-evidence.c */
+} WaService;
+
 typedef struct
 {
   guint64 id;
   gboolean replied;
-  guint placed; /* value of WaPeer.placed at the time of the query */
+  gboolean last; /* draining or suspected: chosen when there is no other */
+  guint placed;  /* value of WaPeer.placed at the time of the query */
 } WaCandidate;
 
 /* A new flow whose endpoint is being chosen. */
 typedef struct
 {
   WbHandle flow;
+  WaLevel level;
   guint32 request_id;
   gint64 due_us;
   guint count;
@@ -121,14 +140,24 @@
 
   GHashTable *entries; /* of WaEntry by flow */
   guint in_use[WA_N_LEVELS];
-  GQueue reserved;
+  GQueue reserved[2];   /* in order of expiry: full and brief reservations */
+  GQueue opened;        /* in order of the end of the reservation */
+  gdouble reserve_used; /* share of the reservations that a payload followed in time */
+  guint reserve_probe;  /* counts reservations, to keep some of them long */
 
   GPtrArray *tenants[WA_N_LEVELS]; /* of WaTenant */
   GQueue by_age[WA_N_LEVELS];
   guint waiting_by_class[WC_N_CLASSES];
   gboolean last_was_aged;
   gint64 swept_us;
+  gboolean hand_over_due;
   gint64 mean_service_us[WC_N_CLASSES];
+  gdouble short_use; /* slots used by short work, averaged up to short_use_us */
+  gint64 short_use_us;
+
+  guint unanswered; /* initial packets in a row */
+  gint64 not_answering_until_us;
+  WaService service[WC_N_CLASSES];
 
   GPtrArray *peers;       /* of WaPeer */
   GHashTable *placements; /* of WaPlacement by flow */
@@ -160,6 +189,8 @@
   WA_COUNTER_GRANTED,
   WA_COUNTER_HANDED_OVER,
   WA_COUNTER_UNKNOWN_PEER,
+  WA_COUNTER_NOT_ANSWERING,
+  WA_COUNTER_DISTRUSTED,
   WA_N_COUNTERS,
 };
 
@@ -169,11 +200,16 @@
 /* wa-slots.c */
 WaLevel wa_level (WcClass class);
 WaEntry *wa_entry_get (const WaAdmission *admission, WbHandle flow);
+gboolean wa_entry_waits (const WaEntry *entry);
 guint wa_slots_usable (const WaAdmission *admission, gint64 now_us);
+guint wa_slots_aged (const WaAdmission *admission, gint64 now_us);
 guint wa_slots_busy (const WaAdmission *admission);
 gboolean wa_slots_free (const WaAdmission *admission, WaLevel level, gint64 now_us);
 void wa_slots_take (WaAdmission *admission, WaEntry *entry, WaEntryState state, gint64 now_us);
 void wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us);
+gint64 wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry);
+void wa_slots_reserve_used (WaAdmission *admission, const WaEntry *entry, gboolean used);
+gint64 wa_slots_forget_opened (WaAdmission *admission, WbHandle flow);
 void wa_slots_expire (WaAdmission *admission, gint64 now_us);
 
 /* wa-queue.c */
@@ -182,24 +218,38 @@
 void wa_queue_remove (WaAdmission *admission, WaEntry *entry);
 guint wa_queue_length (const WaAdmission *admission);
 WaEntry *wa_queue_next (WaAdmission *admission, WaLevel level, gboolean initial_only);
-WaEntry *wa_queue_aged (WaAdmission *admission, gint64 now_us);
 void wa_queue_dispatch (WaAdmission *admission, gint64 now_us);
 
 /* wa-predict.c */
 void wa_predict_record (WaAdmission *admission, WcClass class, gint64 service_us);
-gint64 wa_predict_wait (const WaAdmission *admission, WaLevel level);
-gint64 wa_predict_drain (const WaAdmission *admission);
+void wa_predict_short_use (WaAdmission *admission, gint64 now_us);
+gint64 wa_predict_arrival (WaAdmission *admission, WcClass class, guint tenant, gint64 now_us);
+gint64
+wa_predict_entry (WaAdmission *admission, const WaEntry *entry, gint64 own_ahead_us, gint64 now_us);
+gint64 wa_predict_drain (const WaAdmission *admission, gint64 now_us);
 
 /* wa-refuse.c */
-guint wa_refuse_retry_after (WaAdmission *admission);
-gboolean wa_refuse_on_arrival (WaAdmission *admission, WaLevel level);
+guint wa_refuse_retry_after (WaAdmission *admission, gint64 now_us);
+gboolean wa_refuse_on_arrival (
+    WaAdmission *admission, WcClass class, guint tenant, gint64 waited_us, gint64 now_us);
 void wa_refuse_sweep (WaAdmission *admission, gint64 now_us);
 
+/* wa-evidence.c */
+void wa_evidence_answered (WaAdmission *admission);
+void wa_evidence_unanswered (WaAdmission *admission, gint64 now_us);
+gboolean wa_evidence_not_answering (const WaAdmission *admission, gint64 now_us);
+void wa_evidence_service (WaAdmission *admission, WcClass class, gint64 service_us);
+guint32 wa_evidence_flags (const WaAdmission *admission);
+gboolean wa_evidence_is_slow (const WaAdmission *admission, gint64 now_us);
+void wa_evidence_check (WaAdmission *admission, WaPeer *peer, gboolean is_offer, gint64 now_us);
+gboolean wa_evidence_distrusted (const WaPeer *peer, gint64 now_us);
+
 /* wa-peers.c */
 WaPeer *wa_peer_get (const WaAdmission *admission, guint64 id);
-void wa_peer_report (WaPeer *peer, const ww_occupancy *occupancy, gint64 now_us);
 void wa_peer_send (WaAdmission *admission, guint64 id, const ww_peer_body *body);
 
+void wa_peer_answer (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us);
+
 /* wa-place.c */
 void wa_place_reply (WaAdmission *admission, guint64 id, guint32 request_id, gint64 now_us);
 void wa_place_expire (WaAdmission *admission, gint64 now_us);
@@ -208,7 +258,10 @@
 /* wa-pull.c */
 void wa_pull_offer (WaAdmission *admission, gint64 now_us);
 void wa_pull_try (WaAdmission *admission, gint64 now_us);
+gboolean wa_pull_short_first (WaAdmission *admission, gint64 now_us);
+void wa_pull_declined (WaAdmission *admission, guint64 id, guint32 pull_id);
 void wa_pull_settle (WaAdmission *admission);
 void wa_pull_expire (WaAdmission *admission, gint64 now_us);
 void wa_pull_answer (WaAdmission *admission, WaPeer *peer, const ww_pull *pull, gint64 now_us);
+gboolean wa_pull_hands_over (const WaAdmission *admission, gint64 now_us);
 void wa_pull_hand_over (WaAdmission *admission, gint64 now_us);
--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -39,17 +39,19 @@
       }
 }
 
+/* The peer with the most short entries queued, or else with the most of the others. */
 static WaPeer *
 best_owner (const WaAdmission *admission, gboolean short_only)
 {
   WaPeer *best = NULL;
-  guint most = 0;
+  guint64 most = 0;
   guint i;
 
   for (i = 0; i < admission->peers->len; i++)
     {
       WaPeer *peer = g_ptr_array_index (admission->peers, i);
-      guint waiting = peer->report.waiting_short + (short_only ? 0 : peer->report.waiting_long);
+      guint64 waiting = ((guint64) peer->report.waiting_short << 32) |
+                        (short_only ? 0 : peer->report.waiting_long);
 
       if (waiting <= most)
         continue;
@@ -79,13 +81,37 @@
   wa_peer_send (admission, peer->id, &body);
 }
 
-/* Asks peers for queued initial packets, at most one for each free slot. */
+/* Whether own long or mixed work must leave a free slot to short work that a peer has queued or
+ * that has been asked for. Without this, a slot that becomes free takes the own long entry for
+ * seconds while short work waits elsewhere. */
+gboolean
+wa_pull_short_first (WaAdmission *admission, gint64 now_us)
+{
+  guint usable = wa_slots_usable (admission, now_us);
+  WaPeer *peer;
+
+  if (!pulling_enabled (admission) || admission->draining ||
+      wa_evidence_not_answering (admission, now_us))
+    return FALSE;
+  while (wa_slots_busy (admission) + admission->pulls->len < usable)
+    {
+      peer = best_owner (admission, TRUE);
+      if (peer == NULL)
+        return FALSE;
+      send_pull (admission, peer, TRUE, now_us);
+    }
+  return TRUE;
+}
+
+/* Asks peers for queued initial packets, at most one for each free slot. Own entries that are
+ * queued while a slot is free cannot use it: the slot is reserved for short work. */
 void
 wa_pull_try (WaAdmission *admission, gint64 now_us)
 {
   guint usable = wa_slots_usable (admission, now_us);
 
-  if (!pulling_enabled (admission) || admission->draining || wa_queue_length (admission) > 0)
+  if (!pulling_enabled (admission) || admission->draining ||
+      wa_evidence_not_answering (admission, now_us))
     return;
   while (wa_slots_busy (admission) + admission->pulls->len < usable)
     {
@@ -106,6 +132,20 @@
     g_array_remove_index (admission->pulls, 0);
 }
 
+/* The peer has answered a pull with its occupancy instead of a grant. */
+void
+wa_pull_declined (WaAdmission *admission, guint64 id, guint32 pull_id)
+{
+  guint i;
+
+  for (i = 0; i < admission->pulls->len; i++)
+    if (pull_at (admission, i)->peer_id == id && pull_at (admission, i)->pull_id == pull_id)
+      {
+        g_array_remove_index (admission->pulls, i);
+        return;
+      }
+}
+
 /* A peer that did not grant has nothing queued any more, as far as is known. */
 void
 wa_pull_expire (WaAdmission *admission, gint64 now_us)
@@ -159,6 +199,7 @@
   if (entry == NULL)
     {
       wb_counters_add (admission->counters, WA_COUNTER_PULLS_EMPTY, 1);
+      wa_peer_answer (admission, peer->id, pull->pull_id, now_us);
       return;
     }
   wb_counters_add (admission->counters, WA_COUNTER_GRANTED, 1);
@@ -178,7 +219,7 @@
       guint load = peer->report.busy + peer->report.waiting_short + peer->report.waiting_long;
 
       if (peer->draining || peer->suspected || load >= least ||
-          (peer->report.flags & WA_OCCUPANCY_DRAINING) != 0)
+          (peer->report.flags & (WA_OCCUPANCY_DRAINING | WA_OCCUPANCY_NOT_ANSWERING)) != 0)
         continue;
       least = load;
       best = peer;
@@ -186,6 +227,15 @@
   return best;
 }
 
+/* Whether queued initial packets go to peers: the own server takes no new flows, and a peer does.
+ */
+gboolean
+wa_pull_hands_over (const WaAdmission *admission, gint64 now_us)
+{
+  return (admission->draining || wa_evidence_not_answering (admission, now_us)) &&
+         least_loaded_peer (admission) != NULL;
+}
+
 /* A draining endpoint distributes its queued initial packets over its peers. */
 void
 wa_pull_hand_over (WaAdmission *admission, gint64 now_us)
