--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -278,6 +278,7 @@
   g_autoptr (WcConfig) huber = NULL;
 
   g_assert_no_error (error);
+  g_assert_cmpstr (balancer->zone, ==, "brasov-1");
   agent = wc_settings_load ("../examples/settings/agent.toml", WW_ROLE_AGENT, &error);
   g_assert_no_error (error);
   g_assert_cmpstr (agent->service, ==, "order-desk");
