--- a/tests/flow-world.c
+++ b/tests/flow-world.c
@@ -268,7 +268,7 @@
              random_delay (world, delay_us));
   for (i = 0; i < FW_BALANCERS; i++)
     fw_post (world, CONFIG_BALANCER, i, g_bytes_new (&version, sizeof version),
-             random_delay (world, delay_us));
+             world->balancer_config_delay_us + random_delay (world, delay_us));
 }
 
 FwWorld *
@@ -409,8 +409,7 @@
 
   if (world->trace < 0)
     return;
-  if (event->kind < VIEW_AGENT && event->kind == TO_AGENT &&
-      !ww_encap_parse (data, length, &header, &data, &length))
+  if (event->kind == TO_AGENT && !ww_encap_parse (data, length, &header, &data, &length))
     return;
   if (event->kind < VIEW_AGENT && (ww_packet_parse (data, length, &packet) != WW_PACKET_OK ||
                                    ((packet.source_address & 0xff) != (guint) world->trace &&
