--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -52,6 +52,7 @@
   wm_send_init (node);
   wm_table_init (node);
   wm_gossip_init (node);
+  node->usable.recheck_us = WB_NEVER;
   wm_join_init (node);
   wm_config_init (node);
   wm_news_member (node, settings->id);
@@ -109,7 +110,7 @@
   next_us = MIN (next_us, wm_send_next_us (node));
   next_us = MIN (next_us, wm_join_next_us (node));
   next_us = MIN (next_us, wm_fetch_next_us (node));
-  next_us = MIN (next_us, node->cleanup_us);
+  next_us = MIN (next_us, MIN (node->cleanup_us, node->usable.recheck_us));
   /* Work that is overdue already, as the end of a suspicion that was heard late, is no pause. */
   node->next_us = MAX (next_us, node->now_us);
 }
@@ -177,6 +178,7 @@
 {
   enter_call (node, now_us);
   wm_state_tick (node);
+  wm_usable_tick (node);
   wm_probe_tick (node);
   wm_join_tick (node);
   wm_fetch_tick (node);
@@ -292,7 +294,6 @@
 static gboolean
 receive_reply (WmNode *node, const WmContact *from, guint32 xid, const guint8 *body, gsize length)
 {
-  WmSlot *slot = wm_fetch_find (node, xid);
   gint probe = wm_probe_find (node, xid);
   ww_ack ack = { 0 };
   ww_members_reply members = { 0 };
@@ -315,11 +316,11 @@
       ww_body_clear ((xdrproc_t) xdr_ww_members_reply, &members);
       return TRUE;
     }
-  if (slot == NULL)
+  if (!wm_fetch_is_pending (node, xid))
     return FALSE;
   if (!decode (node, body, length, xdr_ww_config_chunk, &chunk))
     return TRUE;
-  wm_fetch_chunk (node, slot, &chunk);
+  wm_fetch_chunk (node, xid, &chunk);
   ww_body_clear ((xdrproc_t) xdr_ww_config_chunk, &chunk);
   return TRUE;
 }
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -212,7 +212,7 @@
 /** Objects of the platform's API are smaller. */
 #define WM_OBJECT_MAX (1 << 20)
 #define WM_ROOTS 4
-#define WM_FETCH_SLOTS 8
+#define WM_FETCH_SLOTS 32
 #define WM_FETCH_SOURCES 8
 
 typedef struct
@@ -251,6 +251,7 @@
   guint64 version;
   WmRoot root;
   GPtrArray *missing; /* of gchar: parts that no slot fetches */
+  gboolean many;      /* parts were missing */
   WmSlot slots[WM_FETCH_SLOTS];
   WmContact sources[WM_FETCH_SOURCES];
   guint n_sources;
@@ -278,6 +279,18 @@
   WmFetch fetch;
 } WmConfig;
 
+/**
+ * struct WmUsable - what the last call of members_changed was based on
+ * @lost_zones: bit set by row of the table of availability zones
+ * @recheck_us: when the endpoints that died last stop being used
+ */
+typedef struct
+{
+  guint64 lost_zones;
+  guint dead;
+  gint64 recheck_us;
+} WmUsable;
+
 struct WmNode
 {
   WmSettings settings;
@@ -324,6 +337,7 @@
   GQueue queues[WM_N_CLASSES]; /* of WmQueued */
 
   GArray *zones;
+  WmUsable usable;
   GArray *contacts;
   WmJoin join;
   WmConfig config;
@@ -371,6 +385,7 @@
 void wm_raise_incarnation (WmNode *node, guint64 above, gboolean push);
 void wm_relay_failed (WmNode *node, WmMember *row);
 void wm_state_tick (WmNode *node);
+void wm_usable_tick (WmNode *node);
 
 /* wm-gossip.c */
 void wm_gossip_init (WmNode *node);
@@ -441,8 +456,8 @@
 void wm_fetch_init (WmNode *node);
 void wm_fetch_stop (WmNode *node);
 void wm_fetch_heard (WmNode *node, const ww_config_id *id, const WmContact *from);
-WmSlot *wm_fetch_find (WmNode *node, guint32 xid);
-void wm_fetch_chunk (WmNode *node, WmSlot *slot, const ww_config_chunk *chunk);
+gboolean wm_fetch_is_pending (const WmNode *node, guint32 xid);
+void wm_fetch_chunk (WmNode *node, guint32 xid, const ww_config_chunk *chunk);
 void wm_fetch_tick (WmNode *node);
 gint64 wm_fetch_next_us (const WmNode *node);
 
