Bound pulls that bring nothing

Cause: found by reading. The counts in a report include requests of flows that the endpoint serves, which nobody can pull. A peer with a free slot would have pulled, been declined with the same counts, and pulled again, without end, and would have held its long work back meanwhile. Large numbers in a report could also overflow the load.

Change: after a pull without a grant a peer is not asked for 1 s, unless it offers. Numbers in reports are limited to 65535. bench-overload prints the refusals of the tenants that do not rush.

Ruled out: reporting only entries that can be pulled; placement needs the whole queue, and the message has one count per class.

The new test does not end when the wait of 1 s is removed.

--- a/admission/wa-peers.c
+++ b/admission/wa-peers.c
@@ -1,5 +1,9 @@
 #include "wa-private.h"
 
+/* Numbers in reports come from the network; up to this one, sums and products of them cannot
+ * overflow. */
+#define REPORT_MAX G_MAXUINT16
+
 WaPeer *
 wa_peer_get (const WaAdmission *admission, guint64 id)
 {
@@ -23,6 +27,12 @@
              gint64 now_us)
 {
   peer->report = *occupancy;
+  peer->report.slots = MIN (occupancy->slots, REPORT_MAX);
+  peer->report.busy = MIN (occupancy->busy, REPORT_MAX);
+  peer->report.waiting_short = MIN (occupancy->waiting_short, REPORT_MAX);
+  peer->report.waiting_long = MIN (occupancy->waiting_long, REPORT_MAX);
+  if (is_offer)
+    peer->declined_until_us = 0;
   peer->reported_us = now_us;
   wa_evidence_check (admission, peer, is_offer, now_us);
 }
@@ -93,7 +103,7 @@
       break;
     case WW_PEER_OCCUPANCY_REPLY:
       take_report (admission, peer, &body->ww_peer_body_u.occupancy_reply.occupancy, FALSE, now_us);
-      wa_pull_declined (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id);
+      wa_pull_declined (admission, peer, body->ww_peer_body_u.occupancy_reply.request_id, now_us);
       wa_place_reply (admission, peer->id, body->ww_peer_body_u.occupancy_reply.request_id, now_us);
       break;
     case WW_PEER_OFFER:
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -19,6 +19,10 @@
 /* Placements that wait for replies at a time; further ones are decided on what is known. */
 #define WA_MAX_PLACEMENTS 256
 
+/* A peer whose queue holds only requests of flows that it serves reports entries that nobody can
+ * pull. It is asked again after this time or when it offers. */
+#define WA_DECLINED_US (1 * WB_US_PER_S)
+
 /* Pulls remembered per peer to recognise repeated ones. */
 #define WA_PULL_IDS 8
 
@@ -78,6 +82,7 @@
   guint placed;       /* flows placed on the peer by this endpoint */
   guint32 pull_ids[WA_PULL_IDS];
   guint next_pull_id;
+  gint64 declined_until_us; /* a pull brought nothing; not asked again before, unless it offers */
   gint64 offered_us;
   guint contradictions;
   gint64 contradicted_us;
@@ -266,7 +271,7 @@
 void wa_pull_offer (WaAdmission *admission, gint64 now_us);
 void wa_pull_try (WaAdmission *admission, gint64 now_us);
 gboolean wa_pull_short_first (WaAdmission *admission, gint64 now_us);
-void wa_pull_declined (WaAdmission *admission, guint64 id, guint32 pull_id);
+void wa_pull_declined (WaAdmission *admission, WaPeer *peer, guint32 pull_id, gint64 now_us);
 void wa_pull_settle (WaAdmission *admission);
 void wa_pull_expire (WaAdmission *admission, gint64 now_us);
 void wa_pull_answer (WaAdmission *admission, WaPeer *peer, const ww_pull *pull, gint64 now_us);
--- a/admission/wa-pull.c
+++ b/admission/wa-pull.c
@@ -41,7 +41,7 @@
 
 /* The peer with the most short entries queued, or else with the most of the others. */
 static WaPeer *
-best_owner (const WaAdmission *admission, gboolean short_only)
+best_owner (const WaAdmission *admission, gboolean short_only, gint64 now_us)
 {
   WaPeer *best = NULL;
   guint64 most = 0;
@@ -53,7 +53,7 @@
       guint64 waiting = ((guint64) peer->report.waiting_short << 32) |
                         (short_only ? 0 : peer->report.waiting_long);
 
-      if (waiting <= most)
+      if (waiting <= most || now_us < peer->declined_until_us)
         continue;
       most = waiting;
       best = peer;
@@ -95,7 +95,7 @@
     return FALSE;
   while (wa_slots_busy (admission) + admission->pulls->len < usable)
     {
-      peer = best_owner (admission, TRUE);
+      peer = best_owner (admission, TRUE, now_us);
       if (peer == NULL)
         return FALSE;
       send_pull (admission, peer, TRUE, now_us);
@@ -116,7 +116,7 @@
   while (wa_slots_busy (admission) + admission->pulls->len < usable)
     {
       gboolean short_only = !wa_slots_free (admission, WA_LEVEL_REST, now_us);
-      WaPeer *peer = best_owner (admission, short_only);
+      WaPeer *peer = best_owner (admission, short_only, now_us);
 
       if (peer == NULL)
         return;
@@ -134,19 +134,20 @@
 
 /* The peer has answered a pull with its occupancy instead of a grant. */
 void
-wa_pull_declined (WaAdmission *admission, guint64 id, guint32 pull_id)
+wa_pull_declined (WaAdmission *admission, WaPeer *peer, guint32 pull_id, gint64 now_us)
 {
   guint i;
 
   for (i = 0; i < admission->pulls->len; i++)
-    if (pull_at (admission, i)->peer_id == id && pull_at (admission, i)->pull_id == pull_id)
+    if (pull_at (admission, i)->peer_id == peer->id && pull_at (admission, i)->pull_id == pull_id)
       {
         g_array_remove_index (admission->pulls, i);
+        peer->declined_until_us = now_us + WA_DECLINED_US;
         return;
       }
 }
 
-/* A peer that did not grant has nothing queued any more, as far as is known. */
+/* The pull or the grant is lost, or the peer has gone. */
 void
 wa_pull_expire (WaAdmission *admission, gint64 now_us)
 {
@@ -155,7 +156,7 @@
       WaPeer *peer = wa_peer_get (admission, pull_at (admission, 0)->peer_id);
 
       if (peer != NULL)
-        peer->report.waiting_short = peer->report.waiting_long = 0;
+        peer->declined_until_us = now_us + WA_DECLINED_US;
       g_array_remove_index (admission->pulls, 0);
       wb_counters_add (admission->counters, WA_COUNTER_PULL_TIMEOUTS, 1);
     }
--- a/bench/admission-fake.c
+++ b/bench/admission-fake.c
@@ -176,6 +176,7 @@
   if (!is_measured (fake, job))
     return;
   fake->result->refused[job_at (fake, job)->class]++;
+  fake->result->tenant_refused[job_at (fake, job)->class][job_at (fake, job)->tenant]++;
   if (fake->options->probe_refusals)
     {
       gint64 delay_us = flow->decided_us == 0 ? 0 : fake->now_us - flow->decided_us;
@@ -416,6 +417,7 @@
   if (is_measured (fake, job))
     {
       fake->result->flows++;
+      fake->result->tenant_flows[job_at (fake, job)->class][job_at (fake, job)->tenant]++;
       fake->result->offered_us += job_at (fake, job)->service_us;
     }
   flow->arrival_us = fake->now_us;
--- a/bench/admission-fake.h
+++ b/bench/admission-fake.h
@@ -93,6 +93,8 @@
   gdouble offered_us;
   gdouble work_us;
   gdouble tenant_work_us[FAKE_MAX_TENANTS];
+  guint64 tenant_flows[2][FAKE_MAX_TENANTS];
+  guint64 tenant_refused[2][FAKE_MAX_TENANTS];
 } FakeResult;
 
 /**
--- a/bench/bench-overload-main.c
+++ b/bench/bench-overload-main.c
@@ -163,7 +163,12 @@
   g_print ("| %-10s | %6u |", rush ? "rush" : "none", weight);
   for (tenant = 1; tenant <= 3; tenant++)
     g_print (" %7.1f%% |", 100 * result->tenant_work_us[tenant] / capacity_us (&options));
-  g_print (" %8.1f |\n", fake_quantile (result->wait[0], 0.99));
+  g_print (" %8.1f |", fake_quantile (result->wait[0], 0.99));
+  for (i = 0; i < 2; i++)
+    g_print (" %7.1f%% |",
+             100.0 * (gdouble) (result->tenant_refused[i][2] + result->tenant_refused[i][3]) /
+                 (gdouble) MAX (1, result->tenant_flows[i][2] + result->tenant_flows[i][3]));
+  g_print ("\n");
 }
 
 static void
@@ -213,8 +218,9 @@
   g_print (
       "\nShare of the capacity that each of three tenants got; tenant 1 rushes, tenants 2 and 3 "
       "offer 25%% each\n");
-  g_print ("| tenant 1 | weight 2 | tenant 1 | tenant 2 | tenant 3 | p99 short |\n"
-           "|---|---|---|---|---|---|\n");
+  g_print (
+      "| tenant 1 | weight 2 | tenant 1 | tenant 2 | tenant 3 | p99 short | ref.sh 2+3 | ref.lg "
+      "2+3 |\n|---|---|---|---|---|---|---|---|\n");
   bench_tenants (FALSE, 1);
   bench_tenants (TRUE, 1);
   bench_tenants (TRUE, 2);
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -232,6 +232,40 @@
   g_assert_cmpuint (net_counter (net, 0, "pulls_empty"), >=, 1);
 }
 
+/* Guards against endless pulls, and long work held up by them, when a peer's queue holds only
+ * requests of flows that it serves; and against reports with absurd numbers. */
+static void
+test_bounded_pulls (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  ww_peer reply = { .magic = WW_PEER_MAGIC, .service_id = net->service->id, .sender_id = 2 };
+  ww_occupancy *occupancy = &reply.body.ww_peer_body_u.occupancy_reply.occupancy;
+
+  net_occupy (net, 0, 1, WC_CLASS_LONG);
+  wa_admission_request (net->admissions[0], net_handle (2), WC_CLASS_SHORT, 0, &net->retry_after_s,
+                        net->now_us);
+  net->states[0][2] = WAITING;
+  net_occupy (net, 1, 3, WC_CLASS_LONG);
+  net_open (net, 1, 4, WC_CLASS_LONG, 0);
+  g_array_set_size (net->sent, 0);
+  net_place (net, 0, 5, 0);
+  net_deliver_all (net, 1);
+  net_done (net, 1, 3);
+  net_deliver_all (net, 1);
+  g_assert_cmpint (net->states[1][4], ==, OPEN);
+  g_assert_cmpuint (net_counter (net, 1, "pulls_sent"), ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "pulls_empty"), <=, ENDPOINTS - 1);
+  reply.body.kind = WW_PEER_OCCUPANCY_REPLY;
+  *occupancy = (ww_occupancy){ .slots = G_MAXUINT32,
+                               .busy = G_MAXUINT32,
+                               .waiting_short = G_MAXUINT32,
+                               .waiting_long = G_MAXUINT32 };
+  net_done (net, 0, 1);
+  net_done (net, 0, 2);
+  wa_admission_receive (net->admissions[0], &reply, net->now_us);
+  g_assert_cmpuint (net->sent->len, <=, 1);
+}
+
 /* Guards against initial packets that wait for a server which is about to stop. */
 static void
 test_drain (void)
@@ -588,6 +622,7 @@
   g_test_add_func ("/admission/placement", test_placement);
   g_test_add_func ("/admission/pull", test_pull);
   g_test_add_func ("/admission/two-pulls", test_two_pulls);
+  g_test_add_func ("/admission/bounded-pulls", test_bounded_pulls);
   g_test_add_func ("/admission/drain", test_drain);
   g_test_add_func ("/admission/late-payload", test_late_payload);
   g_test_add_func ("/admission/open-ahead", test_open_ahead);
