Describe admission ahead of a slot and the deadline in wa.h

Cause: the interface comments did not say that a first request can be queued after its initial packet was admitted, nor what a draining endpoint does with an initial packet that still arrives.

Change: comments only.

Ruled out: nothing.

Conclusion: for the authors of flow/.

--- a/admission/wa.h
+++ b/admission/wa.h
@@ -32,7 +32,8 @@
 /**
  * struct WaCallbacks - decisions of admission
  * @place: a new flow goes to @endpoint_id, which may be the own endpoint
- * @admit: a queued entry may be delivered now
+ * @admit: a queued entry may be delivered now. An initial packet may be admitted shortly before a
+ * slot is free; the request that follows it is then queued
  * @refuse: a queued entry is refused; the client may come back after @retry_after_s seconds
  * @grant: a queued initial packet is handed to @endpoint_id; the entry has left admission
  * @send: sends a peer message to another endpoint of the service
@@ -65,7 +66,7 @@
 void wa_admission_set_peers (WaAdmission *admission, const WaEndpoint *peers, guint count);
 
 /** wa_admission_set_draining() - a draining endpoint takes no new flows and hands its queue to its
- * peers */
+ * peers; an initial packet that still arrives is queued and granted by the next tick */
 void wa_admission_set_draining (WaAdmission *admission, gboolean draining, gint64 now_us);
 
 /**
@@ -113,7 +114,8 @@
  * wa_admission_request() - the first payload of a request has arrived on a flow held here
  *
  * Uses the slot that the initial packet reserved, when there is one. A flow that has a request in
- * progress is admitted.
+ * progress is admitted. The wait of the initial packet counts against the deadline of the first
+ * request.
  */
 WaVerdict wa_admission_request (WaAdmission *admission,
                                 WbHandle flow,
@@ -156,7 +158,7 @@
  * tenant, or NULL */
 const WbHistogram *wa_admission_wait (const WaAdmission *admission, WcClass class, guint tenant);
 
-/** Flags of ww_occupancy. */
+/** Flags of ww_occupancy. Bits 16 to 31 carry the typical service time: see wa-evidence.c. */
 #define WA_OCCUPANCY_DRAINING 0x1
 #define WA_OCCUPANCY_COLD 0x2
 #define WA_OCCUPANCY_NOT_ANSWERING 0x4
