Deliver a repeated initial packet of an opened flow again

Cause: found by reading. When the server's answer is lost, the client repeats an initial packet whose reservation may have ended by then. It was queued like a new one, and the wait so far was forgotten.

Change: it is admitted without a slot, like the first copy; the request that follows is queued as before.

Measured: the case added to the late-payload test fails without the change (verdict queued) and passes with it.

Ruled out: nothing.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -236,8 +236,8 @@
   gboolean hand_over = wa_pull_hands_over (admission, now_us);
 
   wa_place_cancel (admission, flow);
-  wa_slots_forget_opened (admission, flow, NULL);
   entry = wa_entry_get (admission, flow);
+  /* A repeated initial packet whose first copy was delivered is delivered again. */
   if (entry != NULL)
     return wa_entry_waits (entry) ? WA_QUEUED : WA_ADMITTED;
   wa_pull_settle (admission);
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -338,7 +338,7 @@
 }
 
 /* Guards against a client that waits for twice the deadline, first with its initial packet and then
- * with its first request. */
+ * with its first request, and against a repeated initial packet that starts the wait anew. */
 static void
 test_late_payload (void)
 {
@@ -354,6 +354,7 @@
   wa_admission_answered (net->admissions[0], net_handle (2), net->now_us);
   net_advance (net, 0, 100 * MS);
   net_occupy (net, 0, 3, WC_CLASS_SHORT);
+  g_assert_cmpint (net_open (net, 0, 2, WC_CLASS_SHORT, 0), ==, WA_ADMITTED);
   g_assert_cmpint (wa_admission_request (net->admissions[0], net_handle (2), WC_CLASS_SHORT, 0,
                                          &net->retry_after_s, net->now_us),
                    ==, WA_QUEUED);
