--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -103,6 +103,15 @@
   g_free (admission);
 }
 
+static void
+set_weight (WaAdmission *admission, WaLevel level, WaTenant *tenant, guint weight)
+{
+  weight = MAX (1, weight);
+  if (tenant->waiting.length > 0)
+    admission->active_weight[level] += weight - tenant->weight;
+  tenant->weight = weight;
+}
+
 static void
 set_tenants (WaAdmission *admission, const WcConfig *config)
 {
@@ -114,7 +123,7 @@
         const WcTenant *tenant = g_ptr_array_index (config->tenants, i);
 
         if (i < admission->tenants[level]->len)
-          wa_tenant (admission, level, i)->weight = MAX (1, tenant->weight);
+          set_weight (admission, level, wa_tenant (admission, level, i), tenant->weight);
         else
           add_tenant (admission, level, tenant->weight);
       }
@@ -227,8 +236,8 @@
   gboolean hand_over = wa_pull_hands_over (admission, now_us);
 
   wa_place_cancel (admission, flow);
-  wa_slots_forget_opened (admission, flow, NULL);
   entry = wa_entry_get (admission, flow);
+  /* A repeated initial packet whose first copy was delivered is delivered again. */
   if (entry != NULL)
     return wa_entry_waits (entry) ? WA_QUEUED : WA_ADMITTED;
   wa_pull_settle (admission);
