--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -85,7 +85,7 @@
   for (i = 2; i < 8; i++)
     queued += net_open (net, 0, i, WC_CLASS_LONG, 0) == WA_QUEUED;
   g_assert_cmpuint (queued, ==, 3);
-  g_assert_cmpuint (net_counter (net, 0, "refused_predicted"), ==, 3);
+  g_assert_cmpuint (net_counter (net, 0, "admission_refused_predicted"), ==, 3);
   g_assert_cmpuint (net->retry_after_s, >=, 1);
   g_assert_cmpuint (net->retry_after_s, <=, 5);
   for (i = 8; i < 40; i++)
@@ -179,7 +179,7 @@
   g_assert_cmpint (wa_admission_next_us (net->admissions[0]), ==, net->now_us + 5 * MS);
   net_advance (net, 0, 5 * MS);
   g_assert_cmpuint (net->placed_on[5], ==, 1);
-  g_assert_cmpuint (net_counter (net, 0, "query_timeouts"), ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "admission_query_timeouts"), ==, 1);
   net_place (net, 0, 6, 0);
   wa_admission_remove (net->admissions[0], net_handle (6), net->now_us);
   net_deliver_all (net, 1);
@@ -208,7 +208,7 @@
     wa_admission_receive (net->admissions[0], &first, net->now_us);
   g_assert_cmpint (net->states[0][3], ==, GRANTED);
   g_assert_cmpint (net->states[0][2], ==, WAITING);
-  g_assert_cmpuint (net_counter (net, 0, "pulls_repeated"), ==, 2);
+  g_assert_cmpuint (net_counter (net, 0, "admission_pulls_repeated"), ==, 2);
   wa_admission_receive (net->admissions[0], &g_array_index (net->sent, Sent, 4).message,
                         net->now_us);
   g_assert_cmpint (net->states[0][2], ==, GRANTED);
@@ -228,8 +228,8 @@
   net_open (net, 0, 2, WC_CLASS_LONG, 0);
   net_deliver_all (net, 1);
   g_assert_cmpint (net->states[0][2], ==, GRANTED);
-  g_assert_cmpuint (net_counter (net, 0, "granted"), ==, 1);
-  g_assert_cmpuint (net_counter (net, 0, "pulls_empty"), >=, 1);
+  g_assert_cmpuint (net_counter (net, 0, "admission_granted"), ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "admission_pulls_empty"), >=, 1);
 }
 
 /* Guards against endless pulls, and long work held up by them, when a peer's queue holds only
@@ -253,8 +253,8 @@
   net_done (net, 1, 3);
   net_deliver_all (net, 1);
   g_assert_cmpint (net->states[1][4], ==, OPEN);
-  g_assert_cmpuint (net_counter (net, 1, "pulls_sent"), ==, 1);
-  g_assert_cmpuint (net_counter (net, 0, "pulls_empty"), <=, ENDPOINTS - 1);
+  g_assert_cmpuint (net_counter (net, 1, "admission_pulls_sent"), ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "admission_pulls_empty"), <=, ENDPOINTS - 1);
   reply.body.kind = WW_PEER_OCCUPANCY_REPLY;
   *occupancy = (ww_occupancy){ .slots = G_MAXUINT32,
                                .busy = G_MAXUINT32,
@@ -422,7 +422,7 @@
   g_assert_cmpuint (wa_admission_occupancy (net->admissions[0], net->now_us).busy, ==, 0);
   net_open (net, 0, 5, WC_CLASS_SHORT, 0);
   net_advance (net, 0, 100 * MS);
-  g_assert_cmpuint (net_counter (net, 0, "not_answering"), ==, 2);
+  g_assert_cmpuint (net_counter (net, 0, "admission_not_answering"), ==, 2);
 }
 
 /* Guards against an endpoint that gets all flows because it always reports itself as empty. */
@@ -437,7 +437,7 @@
   offer.body.ww_peer_body_u.offer.occupancy.slots = 4;
   for (i = 0; i < 2; i++)
     wa_admission_receive (net->admissions[0], &offer, net->now_us);
-  g_assert_cmpuint (net_counter (net, 0, "distrusted"), ==, 1);
+  g_assert_cmpuint (net_counter (net, 0, "admission_distrusted"), ==, 1);
   net_occupy (net, 0, 1, WC_CLASS_SHORT);
   net_occupy (net, 2, 2, WC_CLASS_SHORT);
   net_occupy (net, 2, 3, WC_CLASS_SHORT);
@@ -488,7 +488,7 @@
   message.service_id++;
   wa_admission_receive (net->admissions[0], &message, net->now_us);
   g_assert_cmpuint (net->sent->len, ==, 0);
-  g_assert_cmpuint (net_counter (net, 0, "unknown_peer"), ==, 2);
+  g_assert_cmpuint (net_counter (net, 0, "admission_unknown_peer"), ==, 2);
 }
 
 static void
