--- a/tests/scripted/commands.sh
+++ b/tests/scripted/commands.sh
@@ -15,7 +15,7 @@
   "$bin/$1" ${2:-} >"$work/$1.out" &
   pids="$pids $!"
   for _ in $(seq 100); do
-    address=$(head -n 1 "$work/$1.out")
+    address=$(head -n 1 "$work/$1.out" 2>/dev/null)
     [ -z "$address" ] || return 0
     sleep 0.05
   done
@@ -96,6 +96,9 @@
   run metrics --node "$node" | uniq -c
   run metrics --node "$node" --json
   run metrics --node nowhere
+  run balancer
+  run balancer --settings "$work/none.toml"
+  run balancer --settings ../../examples/settings/agent.toml
 }
 
 if [ "${1:-}" = update ]; then
