--- /dev/null
+++ b/bench/bench-flow-main.c
@@ -0,0 +1,313 @@
+#include "wf.h"
+#include "wl.h"
+
+#include <stdio.h>
+#include <time.h>
+
+/*
+ * Cost of a packet and of a new flow at the balancer and at the agent, and bytes per flow, at
+ * several numbers of flows. Times are of the process's own processor time.
+ */
+
+#define SERVICE_ADDRESS 0xc633640a
+#define SERVICE_PORT 8080
+#define SERVICE "order-desk"
+#define SELF_ID 11
+#define OTHER_ID 22
+#define PACKETS 400000
+#define ENDPOINTS 7
+
+typedef struct
+{
+  guint64 to_server;
+  guint64 to_client;
+  guint64 to_endpoint;
+} Sink;
+
+static void
+count_server (gpointer context, const guint8 *packet, gsize length)
+{
+  ((Sink *) context)->to_server++;
+}
+
+static void
+count_client (gpointer context, const guint8 *packet, gsize length)
+{
+  ((Sink *) context)->to_client++;
+}
+
+static void
+count_endpoint (gpointer context, guint64 endpoint_id, const guint8 *data, gsize length)
+{
+  ((Sink *) context)->to_endpoint++;
+}
+
+static void
+count_agent (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length)
+{
+  ((Sink *) context)->to_endpoint++;
+}
+
+static gdouble
+cpu_ns (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (gdouble) now.tv_sec * 1e9 + (gdouble) now.tv_nsec;
+}
+
+static WcConfig *
+make_config (void)
+{
+  WcConfig *config = wc_config_new ();
+  WcService *service = wc_service_new (SERVICE, SERVICE_ADDRESS);
+
+  service->slots = G_MAXUINT16;
+  wc_service_add_port (service, SERVICE_PORT, WW_PROTOCOL_TCP, WC_CLASS_SHORT);
+  wc_config_add_service (config, service);
+  config->version = 1;
+  return config;
+}
+
+static WwPacket
+client_packet (guint flow, guint8 flags, guint32 sequence, guint32 acknowledgment)
+{
+  WwPacket packet = {
+    .source_address = 0xcb007100 + flow / 50000,
+    .destination_address = SERVICE_ADDRESS,
+    .source_port = (guint16) (1024 + flow % 50000),
+    .destination_port = SERVICE_PORT,
+    .protocol = WW_PROTOCOL_TCP,
+    .tcp_flags = flags,
+    .sequence = sequence,
+    .acknowledgment = acknowledgment,
+    .window = 8192,
+  };
+
+  return packet;
+}
+
+static void
+send_client (WfAgent *agent, const WwPacket *packet, gint64 now_us)
+{
+  g_autoptr (GByteArray) bytes = ww_packet_build_tcp (packet);
+  g_autoptr (GByteArray) datagram = g_byte_array_new ();
+  ww_encap header = { .kind = WW_ENCAP_FORWARD,
+                      .hops = 1,
+                      .service_id = wb_name_id (SERVICE),
+                      .config_version = 1,
+                      .home_id = SELF_ID };
+
+  ww_encap_append (datagram, &header, bytes->data, bytes->len);
+  wf_agent_receive (agent, datagram->data, datagram->len, now_us);
+}
+
+static void
+send_server (WfAgent *agent, guint flow, gint64 now_us)
+{
+  WwPacket to = client_packet (flow, 0, 0, 0);
+  WwPacket packet = {
+    .source_address = to.destination_address,
+    .destination_address = to.source_address,
+    .source_port = to.destination_port,
+    .destination_port = to.source_port,
+    .protocol = WW_PROTOCOL_TCP,
+    .tcp_flags = WW_TCP_SYN | WW_TCP_ACK,
+    .sequence = 5000,
+    .acknowledgment = 1001,
+    .window = 8192,
+  };
+  g_autoptr (GByteArray) bytes = ww_packet_build_tcp (&packet);
+
+  wf_agent_from_server (agent, bytes->data, bytes->len, now_us);
+}
+
+static WfAgent *
+make_agent (Sink *sink, guint endpoints, gint64 now_us)
+{
+  const WfEndpoint views[] = { { .id = SELF_ID, .incarnation = 1 },
+                               { .id = OTHER_ID, .incarnation = 1 } };
+  WfCallbacks callbacks = { sink, count_server, count_client, count_endpoint };
+  g_autoptr (WcConfig) config = make_config ();
+  WfAgent *agent = wf_agent_new (SELF_ID, wb_name_id (SERVICE), &callbacks, 7, now_us);
+
+  wf_agent_set_config (agent, config, now_us);
+  wf_agent_set_endpoints (agent, views, endpoints, now_us);
+  return agent;
+}
+
+/* The builder of the packets takes part of the time measured; it is measured alone and taken off.
+ */
+static gdouble
+build_cost (guint flows)
+{
+  gdouble begin = cpu_ns ();
+  guint i;
+
+  for (i = 0; i < PACKETS; i++)
+    {
+      WwPacket packet = client_packet (i % flows, WW_TCP_ACK, 1001, 5001);
+      g_autoptr (GByteArray) bytes = ww_packet_build_tcp (&packet);
+      g_autoptr (GByteArray) datagram = g_byte_array_new ();
+      ww_encap header = { .kind = WW_ENCAP_FORWARD };
+
+      ww_encap_append (datagram, &header, bytes->data, bytes->len);
+    }
+  return (cpu_ns () - begin) / PACKETS;
+}
+
+static void
+register_flows (WfAgent *agent, guint flows, gint64 now_us)
+{
+  ww_flow_entry entries[WW_MAX_REGISTER_FLOWS];
+  ww_peer message = { .service_id = wb_name_id (SERVICE), .sender_id = OTHER_ID };
+  guint i, batch = 0;
+
+  message.body.kind = WW_PEER_REGISTER;
+  message.body.ww_peer_body_u.registration.incarnation = 1;
+  message.body.ww_peer_body_u.registration.flows.flows_val = entries;
+  for (i = 0; i < flows; i++)
+    {
+      WwPacket packet = client_packet (i, 0, 0, 0);
+      WwFlowKey key = ww_packet_key_from_client (&packet);
+      g_autoptr (GByteArray) bytes = g_byte_array_new ();
+
+      entries[batch++] = (ww_flow_entry){ .flow = ww_flow_key_to_wire (&key) };
+      if (batch < WW_MAX_REGISTER_FLOWS && i + 1 < flows)
+        continue;
+      message.body.ww_peer_body_u.registration.flows.flows_len = batch;
+      ww_peer_encode (&message, bytes);
+      wf_agent_receive (agent, bytes->data, bytes->len, now_us);
+      batch = 0;
+    }
+}
+
+static gdouble
+balancer_cost (guint flows)
+{
+  Sink sink = { 0 };
+  WlCallbacks callbacks = { &sink, count_agent };
+  g_autoptr (WlBalancer) balancer = wl_balancer_new (1, &callbacks);
+  g_autoptr (WcConfig) config = make_config ();
+  WlEndpoint endpoints[ENDPOINTS] = { 0 };
+  g_autoptr (GPtrArray) packets =
+      g_ptr_array_new_with_free_func ((GDestroyNotify) g_byte_array_unref);
+  gdouble begin;
+  guint i;
+
+  for (i = 0; i < ENDPOINTS; i++)
+    endpoints[i] =
+        (WlEndpoint){ .id = wb_hash64 (&i, sizeof i, 3), .service_id = wb_name_id (SERVICE) };
+  wl_balancer_set_config (balancer, config);
+  wl_balancer_set_endpoints (balancer, endpoints, ENDPOINTS);
+  for (i = 0; i < flows; i++)
+    {
+      WwPacket packet = client_packet (i, WW_TCP_ACK, 1001, 5001);
+
+      g_ptr_array_add (packets, ww_packet_build_tcp (&packet));
+    }
+  begin = cpu_ns ();
+  for (i = 0; i < PACKETS; i++)
+    {
+      const GByteArray *bytes = g_ptr_array_index (packets, i % flows);
+
+      wl_balancer_packet (balancer, bytes->data, bytes->len);
+    }
+  g_assert (sink.to_endpoint == PACKETS);
+  return (cpu_ns () - begin) / PACKETS;
+}
+
+typedef struct
+{
+  gdouble open_ns;
+  gdouble packet_ns;
+  gdouble bytes_held;
+} HoldCost;
+
+static HoldCost
+hold_cost (guint flows, gdouble build_ns)
+{
+  Sink sink = { 0 };
+  gint64 now_us = 60 * WB_US_PER_S;
+  WfAgent *agent = make_agent (&sink, 1, 0);
+  gsize empty = wf_agent_memory (agent);
+  HoldCost cost;
+  gdouble begin = cpu_ns ();
+  guint i;
+
+  for (i = 0; i < flows; i++)
+    {
+      WwPacket initial = client_packet (i, WW_TCP_SYN, 1000, 0);
+      WwPacket answer = client_packet (i, WW_TCP_ACK, 1001, 5001);
+
+      send_client (agent, &initial, now_us);
+      send_server (agent, i, now_us);
+      send_client (agent, &answer, now_us);
+    }
+  cost.open_ns = (cpu_ns () - begin) / flows - 3 * build_ns;
+  cost.bytes_held = (gdouble) (wf_agent_memory (agent) - empty) / flows;
+  g_assert (wf_agent_flows_held (agent) == flows);
+  begin = cpu_ns ();
+  for (i = 0; i < PACKETS; i++)
+    {
+      WwPacket packet = client_packet (i % flows, WW_TCP_ACK, 1001, 5001);
+
+      send_client (agent, &packet, now_us);
+    }
+  cost.packet_ns = (cpu_ns () - begin) / PACKETS - build_ns;
+  wf_agent_free (agent);
+  return cost;
+}
+
+static HoldCost
+registry_cost (guint flows, gdouble build_ns)
+{
+  Sink sink = { 0 };
+  gint64 now_us = 60 * WB_US_PER_S;
+  WfAgent *agent = make_agent (&sink, 2, 0);
+  gsize empty = wf_agent_memory (agent);
+  HoldCost cost = { 0 };
+  gdouble begin = cpu_ns ();
+  guint i;
+
+  register_flows (agent, flows, now_us);
+  cost.open_ns = (cpu_ns () - begin) / flows;
+  cost.bytes_held = (gdouble) (wf_agent_memory (agent) - empty) / flows;
+  sink.to_endpoint = 0;
+  begin = cpu_ns ();
+  for (i = 0; i < PACKETS; i++)
+    {
+      WwPacket packet = client_packet (i % flows, WW_TCP_ACK, 1001, 5001);
+
+      send_client (agent, &packet, now_us);
+    }
+  cost.packet_ns = (cpu_ns () - begin) / PACKETS - build_ns;
+  g_assert (sink.to_endpoint == PACKETS);
+  wf_agent_free (agent);
+  return cost;
+}
+
+int
+main (void)
+{
+  static const guint sizes[] = { 1000, 4000, 16000, 64000 };
+  guint i;
+
+  printf ("| flows | balancer ns/packet | holder ns/packet | ratio | home forwarding ns/packet | "
+          "new flow "
+          "at holder ns | registration ns | bytes per flow held | bytes per registry entry |\n");
+  printf ("|---|---|---|---|---|---|---|---|---|\n");
+  for (i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      gdouble build_ns = build_cost (sizes[i]);
+      gdouble balancer_ns = balancer_cost (sizes[i]);
+      HoldCost hold = hold_cost (sizes[i], build_ns);
+      HoldCost registry = registry_cost (sizes[i], build_ns);
+
+      printf ("| %u | %.0f | %.0f | %.2f | %.0f | %.0f | %.0f | %.0f | %.0f |\n", sizes[i],
+              balancer_ns, hold.packet_ns, hold.packet_ns / balancer_ns, registry.packet_ns,
+              hold.open_ns, registry.open_ns, hold.bytes_held, registry.bytes_held);
+    }
+  return 0;
+}
