--- a/member/wm-gossip.c
+++ b/member/wm-gossip.c
@@ -4,6 +4,7 @@
 #define STATE_ITEM_BYTES 44
 #define ZONE_ITEM_BYTES 24
 #define PUSH_ZONE_ITEMS 4
+#define PUSH_SEARCH 32
 /* The suspicions of a failed rack still go out at once. With no limit, the loss of 200 of 800
  * members used up the budget within 0.5 s and held up the evidence on the zone. */
 #define PUSH_MAX_SUSPECTS 24
@@ -281,8 +282,11 @@
 fill_new_zones (WmNode *node, ww_gossip *gossip)
 {
   GList *link;
+  guint seen = 0;
 
-  for (link = node->news.head; link != NULL && gossip->items.items_len < PUSH_ZONE_ITEMS;
+  /* New items are in front. */
+  for (link = node->news.head;
+       link != NULL && seen++ < PUSH_SEARCH && gossip->items.items_len < PUSH_ZONE_ITEMS;
        link = link->next)
     {
       const WmNews *news = link->data;
--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -285,7 +285,10 @@
     wm_serve_members (node, from, call->xid, &members);
   if (call->procedure == WW_PROC_CONFIG_FETCH &&
       decode (node, body, length, xdr_ww_config_fetch, &fetch))
-    wm_config_serve (node, from, call->xid, &fetch);
+    {
+      wm_config_serve (node, from, call->xid, &fetch);
+      ww_body_clear ((xdrproc_t) xdr_ww_config_fetch, &fetch);
+    }
 }
 
 /* Return: FALSE when no call of this node has this transaction id */
--- a/member/wm-state.c
+++ b/member/wm-state.c
@@ -3,6 +3,8 @@
 /* Older suspicions carry no information about the order of events. */
 #define MAX_AGE_US (600 * WB_US_PER_S)
 
+#define SUSPICION_SCAN_US (20 * WB_US_PER_MS)
+#define SUSPICIONS_PER_SCAN 64
 #define SELF_PUSH_INTERVAL_US (500 * WB_US_PER_MS)
 
 /* A member has at least 1.5 s to refute after the confirmation of a suspicion, which all hear of.
@@ -292,6 +294,7 @@
 {
   GHashTableIter iter;
   gpointer key, value;
+  guint scans;
 
   if (node->now_us >= node->cleanup_us)
     {
@@ -314,4 +317,7 @@
       else
         node->suspicion_due_us = MIN (node->suspicion_due_us, end_us);
     }
+  /* With hundreds of suspicions one ends every few milliseconds; the scans get rarer then. */
+  scans = 1 + g_hash_table_size (node->suspicions) / SUSPICIONS_PER_SCAN;
+  node->suspicion_due_us = MAX (node->suspicion_due_us, node->now_us + scans * SUSPICION_SCAN_US);
 }
