--- a/daemon/wd-node.c
+++ b/daemon/wd-node.c
@@ -17,6 +17,8 @@
 #define CONTACTS_LISTED 16
 /* The list is compared with the one stored; three watchers cost 6 reads a minute. */
 #define CONTACTS_INTERVAL_US (30 * WB_US_PER_S)
+/* Longest wait for the platform before a node joins without its answer. */
+#define JOIN_WAIT_US WB_US_PER_S
 /* While no configuration is known, the platform is asked again. */
 #define ASK_INTERVAL_US (5 * WB_US_PER_S)
 
@@ -60,9 +62,12 @@
   WcConfig *pending; /* newest one known while the node is not ready */
   WbCounters *counters;
   gint64 started_us;
-  gint64 contacts_us; /* next comparison of the contact list */
-  gint64 ask_us;      /* next read of the platform */
-  gboolean asked;     /* the platform has answered or cannot be reached */
+  gint64 contacts_us;       /* next comparison of the contact list */
+  gint64 ask_us;            /* next read of the platform */
+  gint64 join_us;           /* the node joins then, or when the platform has answered */
+  GArray *contacts;         /* of WcAddress, from the settings */
+  guint64 platform_version; /* version that the platform had last */
+  gboolean asked;           /* the platform has answered or cannot be reached */
   gboolean ready;
   gboolean watching;
   gboolean running; /* callbacks of the daemon may be called */
@@ -162,7 +167,7 @@
     }
   if (node->watcher != NULL)
     wp_watcher_set_known (node->watcher, config->version, parts);
-  if (node->ready)
+  if (node->ready || config->version <= node->platform_version)
     {
       use_config (node, config);
       return;
@@ -171,8 +176,8 @@
   node->pending = wc_config_ref (config);
 }
 
-/* A starting node takes no configuration into effect before it has asked members and the platform
- * for the newest one (R5). */
+/* A starting node takes no configuration of another member into effect before it has asked members
+ * and the platform for the newest one (R5). What the platform has is the newest. */
 static void
 check_ready (WdNode *node)
 {
@@ -205,6 +210,7 @@
 {
   WdNode *node = context;
 
+  node->platform_version = MAX (node->platform_version, version);
   wm_node_offer_config (node->member, version, root, parts, g_get_monotonic_time ());
 }
 
@@ -214,6 +220,18 @@
   wm_node_add_contact (node->member, contact->address, contact->port);
 }
 
+/* An agent that others know before it has a configuration would drop the packets sent to it (R2).
+ */
+static void
+join (WdNode *node)
+{
+  guint i;
+
+  node->join_us = WB_NEVER;
+  for (i = 0; i < node->contacts->len; i++)
+    add_contact (node, &g_array_index (node->contacts, WcAddress, i));
+}
+
 static void
 platform_contacts (gpointer context, const WcAddress *contacts, guint count)
 {
@@ -228,6 +246,8 @@
 {
   WdNode *node = context;
 
+  if (node->join_us != WB_NEVER)
+    join (node);
   node->asked = TRUE;
   node->ask_us = node->config == NULL ? g_get_monotonic_time () + ASK_INTERVAL_US : WB_NEVER;
   if (!answered)
@@ -269,6 +289,8 @@
 static void
 platform_tick (WdNode *node, gint64 now_us)
 {
+  if (node->join_us <= now_us)
+    join (node);
   if (node->watcher == NULL)
     return;
   if (node->ask_us <= now_us)
@@ -406,6 +428,7 @@
   gint64 own_us = node->watcher != NULL ? MIN (node->ask_us, node->contacts_us) : WB_NEVER;
   gint64 core_us = node->callbacks.next_us (node->callbacks.context);
 
+  own_us = MIN (own_us, node->join_us);
   return MIN (own_us, MIN (core_us, wm_node_next_us (node->member)));
 }
 
@@ -478,11 +501,10 @@
     .host = (guint32) wb_name_id (settings->host),
     .role = node->role,
   };
-  guint i;
 
   node->member = wm_node_new (&member, &callbacks, g_random_int (), now_us);
-  for (i = 0; i < settings->contacts->len; i++)
-    add_contact (node, &g_array_index (settings->contacts, WcAddress, i));
+  node->contacts = g_array_ref (settings->contacts);
+  node->join_us = settings->platform_url != NULL ? now_us + JOIN_WAIT_US : now_us;
 }
 
 static gboolean
@@ -562,6 +584,8 @@
   if (node->member != NULL)
     wm_node_free (node->member);
   wd_reply_free (node->reply);
+  if (node->contacts != NULL)
+    g_array_unref (node->contacts);
   wc_config_unref (node->config);
   wc_config_unref (node->pending);
   wb_counters_free (node->counters);
--- a/load/ld-flow.c
+++ b/load/ld-flow.c
@@ -70,12 +70,24 @@
   g_free (flow);
 }
 
+/* One line: id, outcome, begin of the request since the begin of the run and duration in ms, class,
+ * endpoint, client. */
 static void
 log_request (const Flow *flow, Outcome outcome)
 {
-  if (flow->run->log != NULL && flow->requests_sent > 0)
-    g_string_append_printf (flow->run->log, "%" G_GUINT64_FORMAT " %s\n", flow->request.id,
-                            outcome_names[outcome]);
+  gint64 now_us = g_get_monotonic_time ();
+  g_autofree gchar *client = NULL;
+
+  if (flow->run->log == NULL || flow->requests_sent == 0)
+    return;
+  client = ww_address_format (flow->client_address, flow->client_port);
+  g_string_append_printf (flow->run->log,
+                          "%" G_GUINT64_FORMAT " %s %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
+                          " %s %s %s\n",
+                          flow->request.id, outcome_names[outcome],
+                          (flow->begin_us - flow->run->begin_us) / WB_US_PER_MS,
+                          (now_us - flow->begin_us) / WB_US_PER_MS, flow->mix->name,
+                          flow->endpoint != NULL ? flow->endpoint : "-", client);
 }
 
 static void
--- a/load/ld.h
+++ b/load/ld.h
@@ -55,7 +55,8 @@
 /**
  * struct LdRun - state of a run
  * @last_id: id of the last request; ids are unique in runs with different seeds
- * @log: one line "id outcome" for each request, or NULL
+ * @log: one line for each request: id, outcome, begin and duration in ms, class and endpoint; or
+ *   NULL
  */
 typedef struct
 {
--- a/scripts/testbed.sh
+++ b/scripts/testbed.sh
@@ -2,8 +2,8 @@
 # loopback. Sourced by bash; the caller has changed to the root of the project and built it.
 # shellcheck shell=bash
 
-declare -A pids
-declare -A expected_end
+declare -gA pids
+declare -gA expected_end
 
 # Every host gets a loopback address of its own; the process id keeps concurrent runs apart.
 net=127.$((1 + $$ / 250 % 250)).$((1 + $$ % 250))
--- a/standins/fabric-main.c
+++ b/standins/fabric-main.c
@@ -53,6 +53,7 @@
   guint64 sequence;
   gdouble chance_percent[N_CHANCES];
   gdouble delay_ms;
+  FILE *trace;
   guint64 to_balancers, to_clients, lost, duplicated, reordered, unknown;
 } fabric;
 
@@ -60,6 +61,7 @@
 static gchar *option_hosts = NULL;
 static gchar *option_control = NULL;
 static gchar **option_balancers = NULL;
+static gchar *option_trace = NULL;
 static gint option_seed = 1;
 static gdouble option_delay_ms = 0;
 static gdouble option_chance[N_CHANCES] = { 0 };
@@ -72,6 +74,8 @@
     "duplicate PERCENT, reorder PERCENT, stats",
     "ADDRESS:PORT" },
   { "balancer", 0, 0, G_OPTION_ARG_STRING_ARRAY, &option_balancers, "A balancer", "ADDRESS:PORT" },
+  { "trace", 0, 0, G_OPTION_ARG_STRING, &option_trace, "File for one line for each packet",
+    "FILE" },
   { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "Seed of all random choices", "N" },
   { "delay", 0, 0, G_OPTION_ARG_DOUBLE, &option_delay_ms, "One-way delay", "MS" },
   { "loss", 0, 0, G_OPTION_ARG_DOUBLE, &option_chance[CHANCE_LOSS], "Packets lost", "PERCENT" },
@@ -203,6 +207,21 @@
   carry_once (to_client, target, data, length);
 }
 
+static void
+trace_packet (const WwPacket *packet, const gchar *direction)
+{
+  g_autofree gchar *source = NULL;
+  g_autofree gchar *destination = NULL;
+
+  if (fabric.trace == NULL)
+    return;
+  source = ww_address_format (packet->source_address, packet->source_port);
+  destination = ww_address_format (packet->destination_address, packet->destination_port);
+  fprintf (fabric.trace, "%.3f %s %s %s flags=%02x seq=%u ack=%u length=%" G_GSIZE_FORMAT "\n",
+           (gdouble) g_get_real_time () / 1e6, direction, source, destination, packet->tcp_flags,
+           packet->sequence, packet->acknowledgment, packet->payload_length);
+}
+
 static void
 from_client (gpointer context, guint32 address, guint16 port, const guint8 *data, gsize length)
 {
@@ -215,6 +234,7 @@
       fabric.unknown++;
       return;
     }
+  trace_packet (&packet, "in");
   client = g_hash_table_lookup (fabric.clients, GUINT_TO_POINTER (packet.source_address));
   if (client == NULL)
     {
@@ -243,6 +263,7 @@
       fabric.unknown++;
       return;
     }
+  trace_packet (&packet, "out");
   fabric.to_clients++;
   carry (TRUE, client, data, length);
 }
@@ -368,6 +389,8 @@
   fabric.clients = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   fabric.delayed = g_sequence_new (delayed_free);
   fabric.delay_ms = option_delay_ms;
+  if (option_trace != NULL)
+    fabric.trace = fopen (option_trace, "w");
   memcpy (fabric.chance_percent, option_chance, sizeof option_chance);
   fabric.timer = g_source_new (&timer_functions, sizeof (GSource));
   g_source_attach (fabric.timer, NULL);
@@ -384,5 +407,7 @@
   g_unix_signal_add (SIGTERM, stop, loop);
   g_unix_signal_add (SIGINT, stop, loop);
   g_main_loop_run (loop);
+  if (fabric.trace != NULL)
+    fclose (fabric.trace);
   return EXIT_SUCCESS;
 }
