--- a/flow/wf-agent.c
+++ b/flow/wf-agent.c
@@ -531,3 +531,17 @@
   wf_count (agent, WF_COUNTER_TO_CLIENT);
   agent->callbacks.to_client (agent->callbacks.context, data, length);
 }
+
+/* Sets the class and the tenant of the flow's work. */
+void
+wf_flow_classify (WfAgent *agent, WfFlow *flow)
+{
+  const WcPort *port = agent->service == NULL
+                           ? NULL
+                           : wc_service_find_port (agent->service, flow->key.service_port,
+                                                   (guint16) flow->key.protocol);
+
+  flow->class = (guint8) (port == NULL ? WC_CLASS_MIXED : port->class);
+  if (agent->config != NULL)
+    flow->tenant = (guint16) wc_config_find_tenant (agent->config, flow->key.client_address);
+}
--- a/flow/wf-counter.c
+++ b/flow/wf-counter.c
@@ -8,7 +8,7 @@
   { "flow_r1_double_delivery", "Flows found with payload delivered by two holders (R1)." },
   { "flow_r1_release_sent", "Second holders of a flow told to release it (R1)." },
   { "flow_r1_released", "Flows released because another endpoint holds them (R1)." },
-  { "flow_r1_release_ignored", "Releases ignored because payload was delivered here (R1)." },
+  { "flow_r1_release_ignored", "Releases ignored after delivery, or overtaken by a grant (R1)." },
   { "flow_r2_wrong_service", "Packets dropped because they are not for this service (R2)." },
   { "flow_r2_outgoing", "Server packets dropped because their address left the service (R2)." },
   { "flow_r3_refused_initial", "New flows refused before anything was delivered (R3)." },
--- a/flow/wf-hold.c
+++ b/flow/wf-hold.c
@@ -50,8 +50,10 @@
     }
   /* A draining endpoint serves only when every endpoint drains. */
   allow_self = !agent->draining || active_endpoint (agent, &input->key) == 0;
+  wf_flow_classify (agent, flow);
   ranked = wf_view_ranked (agent, &input->key, &count);
-  wa_admission_place (agent->admission, handle, ranked, count, allow_self, agent->now_us);
+  wa_admission_place_class (agent->admission, handle, (WcClass) flow->class, ranked, count,
+                            allow_self, agent->now_us);
 }
 
 /* The initial packet goes to the server. */
@@ -69,23 +71,19 @@
 ask_admission (WfAgent *agent, WbHandle handle)
 {
   WfFlow *flow = wf_table_get (agent->flows, handle);
-  const WcPort *port = agent->service == NULL
-                           ? NULL
-                           : wc_service_find_port (agent->service, flow->key.service_port,
-                                                   (guint16) flow->key.protocol);
+  WaVerdict (*ask) (WaAdmission *, WbHandle, WcClass, guint, guint *, gint64);
   guint retry_after_s = 1;
   WaVerdict verdict;
 
   wf_flow_set_state (agent, flow, WF_FLOW_WAITING);
   wf_table_set_due (agent->flows, handle, WB_NEVER);
   flow->activity_us = agent->now_us;
-  flow->class = (guint8) (port == NULL ? WC_CLASS_MIXED : port->class);
-  flow->tenant = (guint16) (agent->config == NULL
-                                ? WC_TENANT_OTHER
-                                : wc_config_find_tenant (agent->config, flow->key.client_address));
+  wf_flow_classify (agent, flow);
   flow->flags |= WF_FLAG_ADMISSION;
-  verdict = wa_admission_open (agent->admission, handle, (WcClass) flow->class, flow->tenant,
-                               &retry_after_s, agent->now_us);
+  /* The initial packet of a UDP flow is the request itself. */
+  ask = flow->key.protocol == WW_PROTOCOL_UDP ? wa_admission_request : wa_admission_open;
+  verdict = ask (agent->admission, handle, (WcClass) flow->class, flow->tenant, &retry_after_s,
+                 agent->now_us);
   flow = wf_table_get (agent->flows, handle);
   if (flow == NULL || flow->state != WF_FLOW_WAITING)
     return;
@@ -137,6 +135,7 @@
   if (flow == NULL)
     return;
   flow->hops = (guint8) input->header.hops;
+  flow->peer_id = input->header.kind == WW_ENCAP_GRANT ? input->header.sender_id : 0;
   if (!wf_flow_queue (agent, flow, input->data, input->length))
     wf_flow_remove (agent, handle);
   else
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -111,7 +111,7 @@
 {
   WwFlowKey key;
   guint64 home_id; /* home told last; while probing, the home named by the packet */
-  guint64 peer_id; /* tombstone: the endpoint that took over */
+  guint64 peer_id; /* tombstone: the endpoint that took over; held: the one that granted */
   gint64 activity_us;
   gint64 data_us;   /* last payload from the server */
   GPtrArray *queue; /* of GBytes: packets kept, or NULL */
@@ -206,6 +206,7 @@
 void wf_flow_remove (WfAgent *agent, WbHandle handle);
 gboolean wf_flow_queue (WfAgent *agent, WfFlow *flow, const guint8 *data, gsize length);
 void wf_flow_clear_queue (WfAgent *agent, WfFlow *flow);
+void wf_flow_classify (WfAgent *agent, WfFlow *flow);
 void wf_deliver (WfAgent *agent, const guint8 *data, gsize length);
 void wf_to_client (WfAgent *agent, const guint8 *data, gsize length);
 gint64 wf_idle_timeout (const WfAgent *agent);
--- a/flow/wf-probe.c
+++ b/flow/wf-probe.c
@@ -91,19 +91,6 @@
   return TRUE;
 }
 
-static void
-set_service_class (WfAgent *agent, WfFlow *flow)
-{
-  const WcPort *port = agent->service == NULL
-                           ? NULL
-                           : wc_service_find_port (agent->service, flow->key.service_port,
-                                                   (guint16) flow->key.protocol);
-
-  flow->class = (guint8) (port == NULL ? WC_CLASS_MIXED : port->class);
-  if (agent->config != NULL)
-    flow->tenant = (guint16) wc_config_find_tenant (agent->config, flow->key.client_address);
-}
-
 /* The server has the flow. What it was given before the restart is unknown, so that the first
  * request after the recovery is never refused (R3). */
 static void
@@ -118,7 +105,7 @@
   flow->server_ack = packet->acknowledgment;
   flow->client_next = packet->acknowledgment;
   flow->client_ack = packet->sequence;
-  set_service_class (agent, flow);
+  wf_flow_classify (agent, flow);
   wf_register_flow (agent, flow);
 }
 
--- a/flow/wf-registry.c
+++ b/flow/wf-registry.c
@@ -183,5 +183,12 @@
       wf_count (agent, WF_COUNTER_R1_RELEASE_IGNORED);
       return;
     }
+  /* The endpoint that the home names has granted the flow back meanwhile. */
+  if (flow->peer_id == body->holder_id)
+    {
+      wf_count (agent, WF_COUNTER_R1_RELEASE_IGNORED);
+      wf_register_flow (agent, flow);
+      return;
+    }
   give_up_own (agent, flow, handle, body->holder_id);
 }
--- a/tests/flow-tcp.c
+++ b/tests/flow-tcp.c
@@ -4,6 +4,7 @@
 
 #define WINDOW_SEGMENTS 8
 #define INTERVAL_MIN_US (300 * WB_US_PER_MS)
+#define CHALLENGE_INTERVAL_US (20 * WB_US_PER_MS)
 #define INTERVAL_MAX_US (3 * WB_US_PER_S)
 
 FtConnection *
@@ -230,6 +231,10 @@
   if ((packet->tcp_flags & WW_TCP_SYN) || skip > G_MAXINT32 ||
       (skip > 0 && skip >= ww_packet_sequence_length (packet)))
     {
+      /* The limit keeps two ends from answering each other's acknowledgements without end. */
+      if (packet->payload_length == 0 && now_us - connection->challenged_us < CHALLENGE_INTERVAL_US)
+        return;
+      connection->challenged_us = now_us;
       send_ack (connection);
       ft_output (connection, now_us);
       return;
--- a/tests/flow-tcp.h
+++ b/tests/flow-tcp.h
@@ -24,6 +24,7 @@
   gboolean reset;
   gint64 due_us; /* next retransmission */
   gint64 interval_us;
+  gint64 challenged_us; /* when an empty unacceptable segment was answered last */
   void (*emit) (gpointer context, const GByteArray *packet);
   gpointer context;
 } FtConnection;
