Obey a second release of a granted flow

Duplication by the network made the exchange grow without bound. The first release is ignored, a second one stands.

--- a/flow/wf-registry.c
+++ b/flow/wf-registry.c
@@ -183,9 +183,11 @@
       wf_count (agent, WF_COUNTER_R1_RELEASE_IGNORED);
       return;
     }
-  /* The endpoint that the home names has granted the flow back meanwhile. */
+  /* The endpoint that the home names has granted the flow back meanwhile. A second release stands:
+   * without that limit release and registration would answer each other without end. */
   if (flow->peer_id == body->holder_id)
     {
+      flow->peer_id = 0;
       wf_count (agent, WF_COUNTER_R1_RELEASE_IGNORED);
       wf_register_flow (agent, flow);
       return;
