--- a/scripts/testbed.sh
+++ b/scripts/testbed.sh
@@ -49,6 +49,8 @@
 {
   expected_end[$1]=1
   kill "-$2" "${pids[$1]}"
+  # Collected here, so that the shell does not report the killed job.
+  [ "$2" != KILL ] || wait "${pids[$1]}" 2>/dev/null || true
 }
 
 # wait_end NAME SECONDS
