Decode only changed parts in the daemons; count the bytes of peer messages

Cause: the daemons decoded whole configurations, which at 2,000 services holds up their loop for about 0.1 s; the decoder that keeps unchanged parts was not used. The agent also took every refutation or drain of a peer for a restart and registered all its flows there again, because it compared whole incarnations and not their epochs.

Change: one decoder per node, wm_incarnation_epoch() in the view of the agent, a column with bytes in bench-placement. The generated XDR code loses its runs of blank lines.

--- a/bench/admission-fake.c
+++ b/bench/admission-fake.c
@@ -4,6 +4,8 @@
 #include "admission-fake.h"
 #include "ww-flow-key.h"
 
+#define IP_UDP_HEADERS 28
+
 #define SAMPLE_INTERVAL_US (10 * WB_US_PER_MS)
 #define PROBE_INTERVAL_US (5 * WB_US_PER_MS)
 #define COLD_US (10 * WB_US_PER_S)
@@ -351,6 +353,15 @@
   occupancy->busy = occupancy->waiting_short = occupancy->waiting_long = occupancy->flags = 0;
 }
 
+static guint
+datagram_bytes (const ww_peer *message)
+{
+  g_autoptr (GByteArray) bytes = g_byte_array_new ();
+
+  ww_peer_encode (message, bytes);
+  return bytes->len + IP_UDP_HEADERS;
+}
+
 static void
 on_send (gpointer context, guint64 endpoint_id, const ww_peer *message)
 {
@@ -361,6 +372,7 @@
   if (endpoint->index == endpoint->fake->options->liar)
     pretend_empty (event.message);
   endpoint->fake->result->messages++;
+  endpoint->fake->result->message_bytes += datagram_bytes (message);
   schedule (endpoint->fake, event, FAKE_MESSAGE_DELAY_US);
 }
 
--- a/bench/admission-fake.h
+++ b/bench/admission-fake.h
@@ -86,6 +86,7 @@
   gdouble sum_deviation;
   guint64 flows;
   guint64 messages;
+  guint64 message_bytes; /* as datagrams, IPv4 and UDP headers included */
   guint64 packets;
   guint64 extra_hops;
   guint64 completed[2];
--- a/bench/bench-placement-main.c
+++ b/bench/bench-placement-main.c
@@ -96,12 +96,13 @@
 {
   guint64 flows = MAX (1, result->flows);
 
-  g_print (
-      "| %-22s | %6.3f | %5.3f | %7.1f | %7.1f | %8.1f | %8.1f | %5.2f | %6.2f |\n", policy->name,
-      result->sum_maximum / result->sum_mean, result->sum_deviation / result->sum_mean,
-      fake_quantile (result->wait[0], 0.5), fake_quantile (result->wait[0], 0.99),
-      fake_quantile (result->wait[0], 0.999), fake_quantile (result->wait[1], 0.99),
-      (gdouble) result->extra_hops / MAX (1, result->packets), (gdouble) result->messages / flows);
+  g_print ("| %-22s | %6.3f | %5.3f | %7.1f | %7.1f | %8.1f | %8.1f | %5.2f | %6.2f | %6.0f |\n",
+           policy->name, result->sum_maximum / result->sum_mean,
+           result->sum_deviation / result->sum_mean, fake_quantile (result->wait[0], 0.5),
+           fake_quantile (result->wait[0], 0.99), fake_quantile (result->wait[0], 0.999),
+           fake_quantile (result->wait[1], 0.99),
+           (gdouble) result->extra_hops / MAX (1, result->packets),
+           (gdouble) result->messages / flows, (gdouble) result->message_bytes / flows);
 }
 
 static void
@@ -120,8 +121,8 @@
 
   g_print ("\n%ux%u, %s\n", size->endpoints, size->slots, variant->name);
   g_print ("| policy                 | max/mn |   cv  | p50 sh. | p99 sh. | p99.9 sh | p99 long | "
-           "hops  | msgs   |\n");
-  g_print ("|---|---|---|---|---|---|---|---|---|\n");
+           "hops  | msgs   | bytes  |\n");
+  g_print ("|---|---|---|---|---|---|---|---|---|---|\n");
   for (i = 0; i < G_N_ELEMENTS (policies); i++)
     {
       results[i] = run (size, variant, &policies[i], total_s);
@@ -150,7 +151,8 @@
   guint i, j;
 
   g_print ("load %.0f%%, %u s of virtual time for each row, seed %d\n", 100 * LOAD, total_s, SEED);
-  g_print ("waits in ms; hops: extra hops per packet; msgs: peer messages per new flow\n");
+  g_print ("waits in ms; hops: extra hops per packet; msgs, bytes: peer messages and their bytes "
+           "per new flow\n");
   for (j = 0; j < G_N_ELEMENTS (variants); j++)
     for (i = 0; i < G_N_ELEMENTS (sizes); i++)
       if (only == FAKE_NONE || only == j)
--- a/daemon/wd-node.c
+++ b/daemon/wd-node.c
@@ -58,6 +58,7 @@
   WpClient *client;
   WpWatcher *watcher;
   WdReply *reply;
+  WcDecoder *decoder;
   WcConfig *config;
   WcConfig *pending; /* newest one known while the node is not ready */
   WbCounters *counters;
@@ -150,8 +151,8 @@
 config_complete (gpointer context, guint64 version, GBytes *root, GHashTable *parts)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (WcConfig) config = wc_parts_decode (root, parts, &error);
   WdNode *node = context;
+  g_autoptr (WcConfig) config = wc_decoder_decode (node->decoder, root, parts, &error);
 
   if (config == NULL)
     {
@@ -193,16 +194,7 @@
 static GPtrArray *
 root_hashes (gpointer context, GBytes *bytes)
 {
-  g_autoptr (WcRoot) root = wc_root_parse (bytes, NULL);
-  GPtrArray *hashes;
-  guint i;
-
-  if (root == NULL)
-    return NULL;
-  hashes = g_ptr_array_new_with_free_func (g_free);
-  for (i = 0; i < root->hashes->len; i++)
-    g_ptr_array_add (hashes, g_strdup (g_ptr_array_index (root->hashes, i)));
-  return hashes;
+  return wc_root_hashes (bytes);
 }
 
 static void
@@ -551,6 +543,7 @@
   node->contacts_us = node->started_us + ASK_INTERVAL_US;
   node->counters = wb_counters_new (counter_definitions, N_COUNTERS);
   node->reply = wd_reply_new ();
+  node->decoder = wc_decoder_new ();
   node->loop = g_main_loop_new (NULL, FALSE);
   attach_timer (node);
   if (!open_sockets (node, settings, error))
@@ -584,6 +577,7 @@
   if (node->member != NULL)
     wm_node_free (node->member);
   wd_reply_free (node->reply);
+  wc_decoder_free (node->decoder);
   if (node->contacts != NULL)
     g_array_unref (node->contacts);
   wc_config_unref (node->config);
--- a/waxwinghitch-agent/agt-daemon.c
+++ b/waxwinghitch-agent/agt-daemon.c
@@ -97,7 +97,7 @@
     {
       const ww_member *member = &g_array_index (members, ww_member, i);
       WfEndpoint endpoint = { .id = member->id,
-                              .incarnation = member->incarnation,
+                              .incarnation = wm_incarnation_epoch (member->incarnation),
                               .draining = (member->flags & WM_MEMBER_DRAINING) != 0,
                               .suspected =
                                   member->state != WW_MEMBER_ALIVE ||
--- a/wire/ww-proto_xdr.c
+++ b/wire/ww-proto_xdr.c
@@ -42,7 +42,6 @@
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -109,7 +108,6 @@
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -330,7 +328,6 @@
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
@@ -622,7 +619,6 @@
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->name, WW_MAX_NAME))
 			 return FALSE;
@@ -785,7 +781,6 @@
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
 			 return FALSE;
