Keep idle flows through an hour without their client

Cause: a flow whose client answered four keepalive probes 15 s apart was reset at the server. Regions lose each other for an hour now and then; an idle flow across them is alive and was closed after a minute.

Change: probes are 300 s apart, and a client counts as gone after 15 of them, 75 minutes.

Ruled out: an hour exactly, which leaves no margin for the time until members find each other again.

--- a/flow/wf-probe.c
+++ b/flow/wf-probe.c
@@ -7,9 +7,11 @@
 #define ABSENT_US (2 * WB_US_PER_S)
 
 /* Interval of keepalive probes on an idle flow. */
-#define IDLE_INTERVAL_US (15 * WB_US_PER_S)
+#define IDLE_INTERVAL_US (300 * WB_US_PER_S)
 #define SERVER_PROBES_MAX 3
-#define CLIENT_PROBES_MAX 4
+
+/* Regions lose each other for an hour now and then: a client counts as gone after 75 minutes. */
+#define CLIENT_PROBES_MAX 15
 #define PROBE_WINDOW 8192
 
 static void
