Share the command of both daemons and the way to a flow's home

Cause: the argument parser and the start of a daemon stood twice, as did the step that forwards a packet to the home and the default of turn_quiet.

Change: wd_command_run(), wf_route_to_home() and wf_turn_quiet() take their place; behaviour is the same.

--- /dev/null
+++ b/daemon/wd-command.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "wc-settings.h"
+
+/**
+ * struct WdCommand - a daemon as a command with the option --settings
+ * @name: as it appears in messages
+ * @log_name: category of its log lines
+ * @doc: one sentence for --help
+ * @run: runs the daemon until a planned stop is complete; returns FALSE with an error when it
+ *   cannot start
+ */
+typedef struct
+{
+  const gchar *name;
+  const gchar *log_name;
+  const gchar *doc;
+  ww_role role;
+  gboolean (*run) (const WcSettings *settings, GError **error);
+} WdCommand;
+
+/**
+ * wd_command_run() - reads the arguments and the settings file, and runs the daemon
+ *
+ * Return: exit code: 0 success, 1 failure, 2 usage, 3 invalid settings
+ */
+gint wd_command_run (const WdCommand *command, int argc, char **argv);
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -222,6 +222,7 @@
 
 /* wf-route.c */
 void wf_route_receive (WfAgent *agent, const guint8 *data, gsize length);
+gboolean wf_route_to_home (WfAgent *agent, const WfInput *input);
 void wf_route_unknown (WfAgent *agent, WfInput *input);
 void
 wf_route_forward (WfAgent *agent, const WfInput *input, ww_encap_kind kind, guint64 endpoint_id);
@@ -252,6 +253,7 @@
                           gsize length);
 void wf_turn_release_queue (WfAgent *agent, WbHandle handle);
 void wf_turn_due (WfAgent *agent, WfFlow *flow, WbHandle handle);
+gint64 wf_turn_quiet (const WfAgent *agent);
 void wf_turn_schedule (WfAgent *agent, WfFlow *flow, WbHandle handle);
 
 /* wf-refuse.c */
--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -133,10 +133,22 @@
   wf_route_forward (agent, input, WW_ENCAP_CHAIN, next_id);
 }
 
+/* Returns FALSE when this endpoint is the home in its own view. */
+gboolean
+wf_route_to_home (WfAgent *agent, const WfInput *input)
+{
+  guint64 home_id = wf_view_home (agent, &input->key);
+
+  if (home_id == agent->self_id)
+    return FALSE;
+  wf_count (agent, WF_COUNTER_FORWARDED_HOME);
+  wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
+  return TRUE;
+}
+
 static void
 unknown_initial (WfAgent *agent, WfInput *input)
 {
-  guint64 home_id = wf_view_home (agent, &input->key);
   guint64 next_id;
 
   switch (input->header.kind)
@@ -147,11 +159,9 @@
       wf_hold_take (agent, input);
       return;
     case WW_ENCAP_FORWARD:
-      if (home_id == agent->self_id)
-        break;
-      wf_count (agent, WF_COUNTER_FORWARDED_HOME);
-      wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
-      return;
+      if (wf_route_to_home (agent, input))
+        return;
+      break;
     case WW_ENCAP_CHAIN:
     case WW_ENCAP_RETURN:
     default:
@@ -167,16 +177,10 @@
 static void
 unknown_other (WfAgent *agent, WfInput *input)
 {
-  guint64 home_id = wf_view_home (agent, &input->key);
-
   if (input->header.kind == WW_ENCAP_TO_HOLDER && wf_probe_start (agent, input))
     return;
-  if (input->header.kind != WW_ENCAP_CHAIN && home_id != agent->self_id)
-    {
-      wf_count (agent, WF_COUNTER_FORWARDED_HOME);
-      wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
-      return;
-    }
+  if (input->header.kind != WW_ENCAP_CHAIN && wf_route_to_home (agent, input))
+    return;
   if (input->header.kind != WW_ENCAP_CHAIN)
     input->header.home_id = agent->self_id;
   if (wf_probe_recovering (agent) && wf_probe_start (agent, input))
--- a/flow/wf-turn.c
+++ b/flow/wf-turn.c
@@ -56,8 +56,9 @@
   wa_admission_remove (agent->admission, handle, agent->now_us);
 }
 
-static gint64
-turn_quiet (const WfAgent *agent)
+/* Before a configuration is known, the default of the service key applies. */
+gint64
+wf_turn_quiet (const WfAgent *agent)
 {
   return agent->service == NULL ? 20 * WB_US_PER_MS : agent->service->turn_quiet_us;
 }
@@ -68,7 +69,7 @@
 {
   if ((flow->flags & WF_FLAG_REQUEST) == 0 || (flow->flags & WF_FLAG_SERVER_SENT) == 0)
     return FALSE;
-  if (agent->now_us - flow->data_us < turn_quiet (agent))
+  if (agent->now_us - flow->data_us < wf_turn_quiet (agent))
     return FALSE;
   if (flow->key.protocol == WW_PROTOCOL_UDP)
     return TRUE;
@@ -277,7 +278,7 @@
     {
       flow->data_us = agent->now_us;
       flow->flags |= WF_FLAG_SERVER_SENT;
-      wf_table_advance_due (agent->flows, handle, agent->now_us + turn_quiet (agent));
+      wf_table_advance_due (agent->flows, handle, agent->now_us + wf_turn_quiet (agent));
     }
 }
 
@@ -321,7 +322,7 @@
 void
 wf_turn_due (WfAgent *agent, WfFlow *flow, WbHandle handle)
 {
-  gint64 quiet_us = flow->data_us + turn_quiet (agent);
+  gint64 quiet_us = flow->data_us + wf_turn_quiet (agent);
 
   if (flow->flags & WF_FLAG_CLOSED)
     {
--- a/flow/wf-udp.c
+++ b/flow/wf-udp.c
@@ -1,17 +1,10 @@
 #include "wf-private.h"
 
-static gint64
-turn_quiet (const WfAgent *agent)
-{
-  return agent->service == NULL ? 20 * WB_US_PER_MS : agent->service->turn_quiet_us;
-}
-
 /* The first packet of a UDP flow looks like any other, so that the endpoints are asked before a
  * flow is placed while the view changes. */
 void
 wf_udp_unknown (WfAgent *agent, WfInput *input)
 {
-  guint64 home_id = wf_view_home (agent, &input->key);
   guint64 next_id = wf_view_next (agent, &input->key);
 
   switch (input->header.kind)
@@ -25,11 +18,9 @@
       wf_hold_place (agent, input);
       return;
     case WW_ENCAP_FORWARD:
-      if (home_id == agent->self_id)
-        break;
-      wf_count (agent, WF_COUNTER_FORWARDED_HOME);
-      wf_route_forward (agent, input, WW_ENCAP_FORWARD, home_id);
-      return;
+      if (wf_route_to_home (agent, input))
+        return;
+      break;
     case WW_ENCAP_CHAIN:
     default:
       if (next_id != 0)
@@ -106,6 +97,6 @@
       wa_admission_answered (agent->admission, handle, agent->now_us);
     }
   flow->flags |= WF_FLAG_SERVER_SENT;
-  wf_table_advance_due (agent->flows, handle, agent->now_us + turn_quiet (agent));
+  wf_table_advance_due (agent->flows, handle, agent->now_us + wf_turn_quiet (agent));
   wf_to_client (agent, data, length);
 }
--- a/waxwinghitch/bal-daemon.c
+++ b/waxwinghitch/bal-daemon.c
@@ -1,12 +1,9 @@
 #include "cmd.h"
 
-#include "wb-log.h"
+#include "wd-command.h"
 #include "wd.h"
 #include "wl.h"
 
-#include <argp.h>
-#include <stdio.h>
-
 /* Packets that are in transit through a balancer when it leaves are still forwarded. */
 #define LEAVE_LINGER_US (2 * WB_US_PER_S)
 
@@ -139,61 +136,26 @@
   wl_balancer_free (daemon->balancer);
 }
 
-static gint
-run (const gchar *path)
+static gboolean
+run (const WcSettings *settings, GError **error)
 {
-  g_autoptr (GError) error = NULL;
-  g_autoptr (WcSettings) settings = wc_settings_load (path, WW_ROLE_BALANCER, &error);
   Daemon daemon = { 0 };
-  gint result = CMD_EXIT_FAILED;
+  gboolean ok = daemon_open (&daemon, settings, error);
 
-  if (settings == NULL)
-    {
-      fprintf (stderr, "waxwinghitch balancer: %s\n", error->message);
-      return CMD_EXIT_INVALID;
-    }
-  wb_log_init ("waxwinghitch.balancer");
-  if (daemon_open (&daemon, settings, &error))
-    {
-      wd_node_run (daemon.node);
-      result = CMD_EXIT_OK;
-    }
-  else
-    fprintf (stderr, "waxwinghitch balancer: %s\n", error->message);
+  if (ok)
+    wd_node_run (daemon.node);
   daemon_close (&daemon);
-  wb_log_fini ();
-  return result;
-}
-
-static error_t
-parse_option (int key, char *argument, struct argp_state *state)
-{
-  const gchar **path = state->input;
-
-  if (key == 's')
-    *path = argument;
-  else if (key == ARGP_KEY_ARG)
-    argp_error (state, "unexpected argument \"%s\"", argument);
-  else if (key == ARGP_KEY_END && *path == NULL)
-    argp_error (state, "--settings is required");
-  else
-    return ARGP_ERR_UNKNOWN;
-  return 0;
+  return ok;
 }
 
 int
 bal_command (int argc, char **argv)
 {
-  const struct argp_option options[] = {
-    { "settings", 's', "FILE", 0, "Settings of this process (TOML)", 0 }, { 0 }
-  };
-  const struct argp argp = { .options = options,
-                             .parser = parse_option,
-                             .doc = "Runs a balancer until SIGTERM or SIGINT." };
-  const gchar *path = NULL;
-
-  argp_err_exit_status = CMD_EXIT_USAGE;
-  if (argp_parse (&argp, argc, argv, 0, NULL, &path) != 0)
-    return CMD_EXIT_USAGE;
-  return run (path);
+  const WdCommand command = { .name = "waxwinghitch balancer",
+                              .log_name = "waxwinghitch.balancer",
+                              .doc = "Runs a balancer until SIGTERM or SIGINT.",
+                              .role = WW_ROLE_BALANCER,
+                              .run = run };
+
+  return wd_command_run (&command, argc, argv);
 }
