--- a/bench/admission-fake.c
+++ b/bench/admission-fake.c
@@ -331,7 +331,7 @@
 }
 
 static void
-pretend_empty (ww_peer *message)
+report_empty (ww_peer *message)
 {
   ww_occupancy *occupancy;
 
@@ -369,8 +369,8 @@
   Event event = { .kind = EVENT_MESSAGE, .endpoint = (guint) endpoint_id - 1 };
 
   event.message = g_memdup2 (message, sizeof *message);
-  if (endpoint->index == endpoint->fake->options->liar)
-    pretend_empty (event.message);
+  if (endpoint->index == endpoint->fake->options->misleading)
+    report_empty (event.message);
   endpoint->fake->result->messages++;
   endpoint->fake->result->message_bytes += datagram_bytes (message);
   schedule (endpoint->fake, event, FAKE_MESSAGE_DELAY_US);
--- a/bench/admission-fake.h
+++ b/bench/admission-fake.h
@@ -36,7 +36,7 @@
  * @class_known: whether admission is told the class
  * @slow: endpoint whose server takes 3 times as long, or FAKE_NONE
  * @cold: endpoint whose server has just started and takes twice as long for 10 s
- * @liar: endpoint that always reports itself as empty
+ * @misleading: endpoint that always reports itself as empty
  * @client_rtt_us: time from the delivery of an initial packet to the first payload
  * @think_us: further time that clients take for their first payload
  * @bind_at_payload: the agent completes the handshake and places the flow at the first payload
@@ -56,7 +56,7 @@
   gboolean class_known;
   guint slow;
   guint cold;
-  guint liar;
+  guint misleading;
   gint64 client_rtt_us;
   gint64 think_us;
   gboolean bind_at_payload;
--- a/bench/admission-jobs.c
+++ b/bench/admission-jobs.c
@@ -18,7 +18,7 @@
                             .class_known = TRUE,
                             .slow = FAKE_NONE,
                             .cold = FAKE_NONE,
-                            .liar = FAKE_NONE,
+                            .misleading = FAKE_NONE,
                             .client_rtt_us = 6 * WB_US_PER_MS,
                             .deadline_us = 10 * WB_US_PER_S,
                             .queue_limit = 256 };
--- a/bench/bench-placement-main.c
+++ b/bench/bench-placement-main.c
@@ -20,7 +20,7 @@
   gboolean class_known;
   gboolean slow;
   gboolean cold;
-  gboolean liar;
+  gboolean misleading;
 } Variant;
 
 typedef struct
@@ -47,8 +47,8 @@
   { "class unknown, one slow endpoint", .slow = TRUE },
   { "class known, one cold start", .class_known = TRUE, .cold = TRUE },
   { "class unknown, one cold start", .cold = TRUE },
-  { "class known, one misleading endpoint", .class_known = TRUE, .liar = TRUE },
-  { "class unknown, one misleading endpoint", .liar = TRUE },
+  { "class known, one misleading endpoint", .class_known = TRUE, .misleading = TRUE },
+  { "class unknown, one misleading endpoint", .misleading = TRUE },
 };
 
 static const Size sizes[] = { { 7, 4 }, { 3, 4 }, { 7, 7 }, { 4, 7 } };
@@ -74,7 +74,7 @@
   options.class_known = variant->class_known;
   options.slow = variant->slow ? 0 : FAKE_NONE;
   options.cold = variant->cold ? 0 : FAKE_NONE;
-  options.liar = variant->liar ? 0 : FAKE_NONE;
+  options.misleading = variant->misleading ? 0 : FAKE_NONE;
   options.deadline_us = 3600 * WB_US_PER_S;
   options.queue_limit = 100000;
   options.warmup_us = variant->cold ? 0 : 5 * WB_US_PER_S;
--- a/flow/wf-view.c
+++ b/flow/wf-view.c
@@ -73,7 +73,7 @@
 }
 
 /* Whether the endpoint was in the view and is no longer. One that is not in the view yet, and whose
- * registration came before the news of its join, does not count as lost. */
+ * registration came before the report of its join, does not count as lost. */
 gboolean
 wf_view_lost (const WfAgent *agent, guint64 endpoint_id)
 {
--- a/member/wm-gossip.c
+++ b/member/wm-gossip.c
@@ -16,8 +16,8 @@
 void
 wm_gossip_init (WmNode *node)
 {
-  g_queue_init (&node->news);
-  node->news_index = g_hash_table_new (NULL, NULL);
+  g_queue_init (&node->updates);
+  node->update_index = g_hash_table_new (NULL, NULL);
   node->push = g_array_new (FALSE, FALSE, sizeof (guint64));
   node->push_us = WB_NEVER;
 }
@@ -25,8 +25,8 @@
 void
 wm_gossip_clear (WmNode *node)
 {
-  g_queue_clear_full (&node->news, g_free);
-  g_hash_table_unref (node->news_index);
+  g_queue_clear_full (&node->updates, g_free);
+  g_hash_table_unref (node->update_index);
   g_array_unref (node->push);
 }
 
@@ -41,36 +41,36 @@
 add_news (WmNode *node, ww_gossip_kind kind, guint64 key, guint32 zone)
 {
   gpointer index_key = GSIZE_TO_POINTER (kind == WW_GOSSIP_ZONE ? key ^ zone : key);
-  GList *link = g_hash_table_lookup (node->news_index, index_key);
-  WmNews *news;
+  GList *link = g_hash_table_lookup (node->update_index, index_key);
+  WmUpdate *update;
 
   if (link == NULL)
     {
-      news = g_new0 (WmNews, 1);
-      g_queue_push_head (&node->news, news);
-      g_hash_table_insert (node->news_index, index_key, node->news.head);
+      update = g_new0 (WmUpdate, 1);
+      g_queue_push_head (&node->updates, update);
+      g_hash_table_insert (node->update_index, index_key, node->updates.head);
     }
   else
     {
-      news = link->data;
-      g_queue_unlink (&node->news, link);
-      g_queue_push_head_link (&node->news, link);
+      update = link->data;
+      g_queue_unlink (&node->updates, link);
+      g_queue_push_head_link (&node->updates, link);
     }
-  news->key = key;
-  news->kind = kind;
-  news->zone = zone;
-  news->remaining = repeats (node);
+  update->key = key;
+  update->kind = kind;
+  update->zone = zone;
+  update->remaining = repeats (node);
 }
 
 /* Spread by piggybacking alone. */
 void
-wm_news_quiet (WmNode *node, guint64 id)
+wm_update_quiet (WmNode *node, guint64 id)
 {
   add_news (node, WW_GOSSIP_MEMBER, id, 0);
 }
 
 void
-wm_news_member (WmNode *node, guint64 id)
+wm_update_member (WmNode *node, guint64 id)
 {
   const WmMember *row = wm_find (node, id);
   guint i;
@@ -91,7 +91,7 @@
 }
 
 void
-wm_news_zone (WmNode *node, guint32 zone, guint64 reporter)
+wm_update_zone (WmNode *node, guint32 zone, guint64 reporter)
 {
   add_news (node, WW_GOSSIP_ZONE, reporter, zone);
   node->push_us = MIN (node->push_us, node->now_us + WM_PUSH_DELAY_US);
@@ -133,12 +133,12 @@
 }
 
 static gsize
-make_item (const WmNode *node, const WmNews *news, ww_gossip_item *item)
+make_item (const WmNode *node, const WmUpdate *update, ww_gossip_item *item)
 {
-  if (news->kind == WW_GOSSIP_MEMBER)
-    return member_item (node, news->key, item);
+  if (update->kind == WW_GOSSIP_MEMBER)
+    return member_item (node, update->key, item);
   item->kind = WW_GOSSIP_ZONE;
-  if (!wm_zone_item (node, news->zone, news->key, &item->ww_gossip_item_u.zone))
+  if (!wm_zone_item (node, update->zone, update->key, &item->ww_gossip_item_u.zone))
     return 0;
   return ZONE_ITEM_BYTES;
 }
@@ -146,12 +146,12 @@
 static void
 drop_news (WmNode *node, GList *link)
 {
-  WmNews *news = link->data;
-  guint64 key = news->kind == WW_GOSSIP_ZONE ? news->key ^ news->zone : news->key;
+  WmUpdate *update = link->data;
+  guint64 key = update->kind == WW_GOSSIP_ZONE ? update->key ^ update->zone : update->key;
 
-  g_hash_table_remove (node->news_index, GSIZE_TO_POINTER (key));
-  g_queue_delete_link (&node->news, link);
-  g_free (news);
+  g_hash_table_remove (node->update_index, GSIZE_TO_POINTER (key));
+  g_queue_delete_link (&node->updates, link);
+  g_free (update);
 }
 
 static void
@@ -187,7 +187,7 @@
     WmNode *node, ww_gossip *gossip, ww_gossip_item *items, guint64 subject, guint64 incarnation)
 {
   gsize allowance = wm_send_item_allowance (node);
-  guint turns = node->news.length;
+  guint turns = node->updates.length;
   gsize used = 0;
 
   fill_header (node, gossip, items);
@@ -195,9 +195,9 @@
   gossip->items.items_len += wm_zone_fill (node, items + gossip->items.items_len, ZONE_ITEMS);
   while (turns-- > 0 && gossip->items.items_len < WW_MAX_GOSSIP_ITEMS)
     {
-      GList *link = node->news.head;
-      WmNews *news = link->data;
-      gsize size = make_item (node, news, &items[gossip->items.items_len]);
+      GList *link = node->updates.head;
+      WmUpdate *update = link->data;
+      gsize size = make_item (node, update, &items[gossip->items.items_len]);
 
       if (size != 0 && used + size > allowance)
         return;
@@ -205,15 +205,15 @@
         {
           used += size;
           gossip->items.items_len++;
-          news->remaining--;
+          update->remaining--;
         }
-      if (size == 0 || news->remaining == 0)
+      if (size == 0 || update->remaining == 0)
         {
           drop_news (node, link);
           continue;
         }
-      g_queue_unlink (&node->news, link);
-      g_queue_push_tail_link (&node->news, link);
+      g_queue_unlink (&node->updates, link);
+      g_queue_push_tail_link (&node->updates, link);
     }
 }
 
@@ -285,14 +285,14 @@
   guint seen = 0;
 
   /* New items are in front. */
-  for (link = node->news.head;
+  for (link = node->updates.head;
        link != NULL && seen++ < PUSH_SEARCH && gossip->items.items_len < PUSH_ZONE_ITEMS;
        link = link->next)
     {
-      const WmNews *news = link->data;
+      const WmUpdate *update = link->data;
 
-      if (news->kind == WW_GOSSIP_ZONE && news->remaining == repeats (node) &&
-          make_item (node, news, &gossip->items.items_val[gossip->items.items_len]) != 0)
+      if (update->kind == WW_GOSSIP_ZONE && update->remaining == repeats (node) &&
+          make_item (node, update, &gossip->items.items_val[gossip->items.items_len]) != 0)
         gossip->items.items_len++;
     }
 }
--- a/member/wm-join.c
+++ b/member/wm-join.c
@@ -282,7 +282,7 @@
 void
 wm_join_heard_count (WmNode *node, guint members)
 {
-  if (node->join.complete && members > wm_live_count (node) && g_queue_is_empty (&node->news))
+  if (node->join.complete && members > wm_live_count (node) && g_queue_is_empty (&node->updates))
     node->join.sync_us = MIN (node->join.sync_us, node->now_us + SYNC_BEHIND_INTERVAL_US);
 }
 
--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -57,7 +57,7 @@
   node->usable.recheck_us = WB_NEVER;
   wm_join_init (node);
   wm_config_init (node);
-  wm_news_member (node, settings->id);
+  wm_update_member (node, settings->id);
   node->next_us = now_us;
   return node;
 }
@@ -217,7 +217,7 @@
     return;
   node->leaving = TRUE;
   wm_table_set_state (node, wm_self (node), WW_MEMBER_LEFT);
-  wm_news_member (node, node->settings.id);
+  wm_update_member (node, node->settings.id);
   node->push_us = node->now_us;
   wm_gossip_tick (node);
   for (i = 0; i < peers->len && i < 16; i++)
--- a/member/wm-private.h
+++ b/member/wm-private.h
@@ -129,14 +129,14 @@
   gint64 until_us;
 } WmQueued;
 
-/** struct WmNews - a gossip item that is still to be sent @remaining times */
+/** struct WmUpdate - a gossip item that is still to be sent @remaining times */
 typedef struct
 {
   guint64 key;
   guint32 zone; /* for WW_GOSSIP_ZONE, where @key is the reporter */
   ww_gossip_kind kind;
   guint remaining;
-} WmNews;
+} WmUpdate;
 
 #define WM_ZONE_REPORTERS 8
 #define WM_ZONE_MIN_REPORTERS 5
@@ -327,8 +327,8 @@
   gint64 self_pushed_us;
   gint64 revive_us;
 
-  GQueue news; /* of WmNews */
-  GHashTable *news_index;
+  GQueue updates; /* of WmUpdate */
+  GHashTable *update_index;
   GArray *push; /* of guint64: ids */
   gint64 push_us;
 
@@ -390,10 +390,10 @@
 /* wm-gossip.c */
 void wm_gossip_init (WmNode *node);
 void wm_gossip_clear (WmNode *node);
-void wm_news_member (WmNode *node, guint64 id);
-void wm_news_quiet (WmNode *node, guint64 id);
+void wm_update_member (WmNode *node, guint64 id);
+void wm_update_quiet (WmNode *node, guint64 id);
 void wm_gossip_ask (WmNode *node, const WmMember *row, const WmContact *helpers, guint count);
-void wm_news_zone (WmNode *node, guint32 zone, guint64 reporter);
+void wm_update_zone (WmNode *node, guint32 zone, guint64 reporter);
 void wm_gossip_fill (
     WmNode *node, ww_gossip *gossip, ww_gossip_item *items, guint64 subject, guint64 incarnation);
 void wm_gossip_apply (WmNode *node, const ww_gossip *gossip, const WmContact *from);
--- a/member/wm-state.c
+++ b/member/wm-state.c
@@ -29,9 +29,9 @@
     self->incarnation = MAX (self->incarnation, above) + 1;
   node->changed = TRUE;
   if (push)
-    wm_news_member (node, self->id);
+    wm_update_member (node, self->id);
   else
-    wm_news_quiet (node, self->id);
+    wm_update_quiet (node, self->id);
 }
 
 static void
@@ -48,7 +48,7 @@
       if (item->second_id != 0 && node->now_us - node->self_pushed_us >= SELF_PUSH_INTERVAL_US)
         {
           node->self_pushed_us = node->now_us;
-          wm_news_member (node, node->settings.id);
+          wm_update_member (node, node->settings.id);
         }
       return;
     }
@@ -109,7 +109,7 @@
   if (row == NULL)
     {
       if (wm_table_add (node, &alive) != NULL && spread)
-        wm_news_member (node, info->id);
+        wm_update_member (node, info->id);
       return;
     }
   if (info->incarnation <= row->info.incarnation)
@@ -119,9 +119,9 @@
   wm_table_update (node, row, &alive);
   wm_table_set_state (node, row, WW_MEMBER_ALIVE);
   if (spread && quiet)
-    wm_news_quiet (node, info->id);
+    wm_update_quiet (node, info->id);
   else if (spread)
-    wm_news_member (node, info->id);
+    wm_update_member (node, info->id);
 }
 
 static void
@@ -248,9 +248,9 @@
       suspicion_began (node, row, reporter);
     }
   if (suspicion_end_us (node, suspicion) != WB_NEVER)
-    wm_news_member (node, row->info.id);
+    wm_update_member (node, row->info.id);
   else
-    wm_news_quiet (node, row->info.id);
+    wm_update_quiet (node, row->info.id);
   node->suspicion_due_us = MIN (node->suspicion_due_us, suspicion_end_us (node, suspicion));
 }
 
@@ -280,7 +280,7 @@
         return;
       clear_suspicion (node, item->id);
       wm_table_set_state (node, row, WW_MEMBER_LEFT);
-      wm_news_member (node, item->id);
+      wm_update_member (node, item->id);
       return;
     }
   wm_suspect (node, row, item->reporter_id, item->second_id,
--- a/member/wm-view.c
+++ b/member/wm-view.c
@@ -108,8 +108,8 @@
 wm_node_memory (const WmNode *node)
 {
   gsize entries = g_hash_table_size (node->index) + g_hash_table_size (node->addresses);
-  gsize news = node->news.length * (sizeof (WmNews) + sizeof (GList) + 40);
+  gsize update = node->updates.length * (sizeof (WmUpdate) + sizeof (GList) + 40);
   gsize suspicions = g_hash_table_size (node->suspicions) * (sizeof (WmSuspicion) + 40);
 
-  return sizeof *node + node->rows->len * sizeof (WmMember) + entries * 40 + news + suspicions;
+  return sizeof *node + node->rows->len * sizeof (WmMember) + entries * 40 + update + suspicions;
 }
--- a/member/wm-zone.c
+++ b/member/wm-zone.c
@@ -81,7 +81,7 @@
   *reporter = (WmZoneReporter){ id, reporter_zone, sequence, node->now_us };
   wb_counters_add (node->counters, WM_COUNTER_ZONE_EVIDENCE, 1);
   node->changed = TRUE;
-  wm_news_zone (node, zone->zone, id);
+  wm_update_zone (node, zone->zone, id);
 }
 
 static void
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -185,7 +185,7 @@
 
 /* What R6 prevents: with a single reporter a node that hears nobody declares others dead. */
 static void
-test_deaf_node (void)
+test_no_input (void)
 {
   guint reporters;
 
@@ -507,7 +507,7 @@
   g_test_add_func ("/member/one-way-cut", test_one_way_cut);
   g_test_add_func ("/member/pause", test_pause);
   g_test_add_func ("/member/lone-report", test_lone_report);
-  g_test_add_func ("/member/deaf-node", test_deaf_node);
+  g_test_add_func ("/member/no-input", test_no_input);
   g_test_add_func ("/member/rolling-restart", test_rolling_restart);
   g_test_add_func ("/member/drain-and-leave", test_drain_and_leave);
   g_test_add_func ("/member/bad-network", test_bad_network);
