--- a/tests/flow-world.c
+++ b/tests/flow-world.c
@@ -578,6 +578,34 @@
   return -1;
 }
 
+/* Whether a SYN-ACK is on its way to the client. */
+gboolean
+fw_handshake_in_flight (const FwWorld *world, const FwClient *client)
+{
+  GSequenceIter *iter;
+
+  for (iter = g_sequence_get_begin_iter (world->events); !g_sequence_iter_is_end (iter);
+       iter = g_sequence_iter_next (iter))
+    {
+      const Event *event = g_sequence_get (iter);
+      WwFlowKey key;
+      WwPacket packet;
+      gsize length;
+      const guint8 *data;
+
+      if (event->kind != TO_CLIENT)
+        continue;
+      data = g_bytes_get_data (event->data, &length);
+      if (ww_packet_parse (data, length, &packet) != WW_PACKET_OK ||
+          (packet.tcp_flags & WW_TCP_SYN) == 0)
+        continue;
+      key = ww_packet_key_from_server (&packet);
+      if (ww_flow_key_equal (&key, &client->tcp->key))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 void
 fw_check_finished (FwWorld *world)
 {
--- a/tests/flow-world.h
+++ b/tests/flow-world.h
@@ -117,6 +117,7 @@
 guint64 fw_counter (const FwWorld *world, const gchar *name);
 guint fw_held (const FwWorld *world);
 gint fw_find_held (const FwWorld *world, const FwClient *client);
+gboolean fw_handshake_in_flight (const FwWorld *world, const FwClient *client);
 
 /** fw_check_finished() - notes a fault for each client that has not finished */
 void fw_check_finished (FwWorld *world);
