Let the client's acknowledgement decide between two holders

The home paused with an unconfirmed handshake, another endpoint placed the repeated initial packet, and the client took that answer. When the home woke it kept its own holder, which was first, and released the other, so the client's connection had no server.

Change: a home that holds the flow itself releases nobody while the client has acknowledged neither answer and the initial packet was delivered less than 10 s ago. A packet that acknowledges the own answer makes it release the other; one that acknowledges another makes it give up its own connection and forward.

/flow/two-holders expected the release within 1 s of the second registration, from a client that acknowledges nothing. The home now decides without it when the holder registers again after 60 s, so the test runs for 80 s; it still requires that exactly one of two connections is left.

--- a/flow/wf-hold.c
+++ b/flow/wf-hold.c
@@ -61,6 +61,7 @@
 open_flow (WfAgent *agent, WfFlow *flow, WbHandle handle)
 {
   wf_flow_set_state (agent, flow, WF_FLOW_HELD);
+  flow->data_us = agent->now_us;
   wf_count (agent, WF_COUNTER_FLOWS_OPENED);
   wf_register_flow (agent, flow);
   wf_turn_opened (agent, flow, handle);
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -113,7 +113,7 @@
   guint64 home_id; /* home told last; while probing, the home named by the packet */
   guint64 peer_id; /* tombstone: the endpoint that took over; held: the one that granted */
   gint64 activity_us;
-  gint64 data_us;   /* last payload from the server */
+  gint64 data_us;   /* last data of the server; before any, delivery of the initial packet */
   GPtrArray *queue; /* of GBytes: packets kept, or NULL */
   guint32 client_next;
   guint32 client_ack;
@@ -288,6 +288,9 @@
 /* wf-registry.c */
 void wf_registry_receive (WfAgent *agent, const ww_peer *message);
 void wf_registry_released (WfAgent *agent, const ww_peer *message);
+gboolean wf_registry_undecided (const WfFlow *flow);
+void wf_registry_confirmed (WfAgent *agent, const WwFlowKey *key);
+void wf_registry_yield (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 holder_id);
 
 /* wf-udp.c */
 void wf_udp_unknown (WfAgent *agent, WfInput *input);
--- a/flow/wf-registry.c
+++ b/flow/wf-registry.c
@@ -3,6 +3,10 @@
 /* Life of an entry without a refresh: three refresh rounds and some delay. */
 #define ENTRY_LIFE_US (200 * WB_US_PER_S)
 
+/* For this time after the initial packet was delivered the home waits for the client to show which
+ * of two servers' answers it took; a lost acknowledgement is repeated within it. */
+#define DECISION_US (10 * WB_US_PER_S)
+
 static void
 send_release (WfAgent *agent, const WwFlowKey *key, guint64 loser_id, guint64 holder_id)
 {
@@ -57,6 +61,35 @@
     wa_admission_remove (agent->admission, handle, agent->now_us);
 }
 
+/* Whether it is open which server's answer the client took. Its acknowledgement tells. */
+gboolean
+wf_registry_undecided (const WfFlow *flow)
+{
+  return flow->state == WF_FLOW_HELD && flow->key.protocol == WW_PROTOCOL_TCP &&
+         (flow->flags & (WF_FLAG_DELIVERED | WF_FLAG_CONFIRMED | WF_FLAG_CLOSED)) == 0;
+}
+
+/* The client has taken the answer of the own server: another holder is told to release the flow. */
+void
+wf_registry_confirmed (WfAgent *agent, const WwFlowKey *key)
+{
+  WbHandle handle;
+  const WfEntry *entry = wf_register_find (agent, key, &handle);
+
+  if (entry == NULL || entry->holder_id == agent->self_id)
+    return;
+  send_release (agent, key, entry->holder_id, agent->self_id);
+  wf_table_remove (agent->registry, handle);
+}
+
+/* The client has taken the answer of @holder_id, which has registered the flow. */
+void
+wf_registry_yield (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 holder_id)
+{
+  if (wf_enabled (agent, WF_DISABLE_RELEASE))
+    give_up_own (agent, flow, handle, holder_id);
+}
+
 /* The home has a row of its own for the flow that @sender_id registers. Returns whether the
  * registration stands. */
 static gboolean
@@ -80,6 +113,9 @@
         break;
       if (!replaces (agent, known, flags))
         {
+          if (wf_registry_undecided (flow) && (flags & WF_ENTRY_WAITING) == 0 &&
+              agent->now_us - flow->data_us < DECISION_US)
+            return TRUE;
           send_release (agent, key, sender_id, agent->self_id);
           return FALSE;
         }
--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -289,6 +289,31 @@
          input->packet.sequence + 1 != flow->client_next;
 }
 
+/* The client's acknowledgement tells which of two servers' answers it took. */
+static void
+to_held (WfAgent *agent, WfFlow *flow, WbHandle handle, WfInput *input)
+{
+  gboolean undecided = wf_registry_undecided (flow);
+  guint64 holder_id;
+
+  if (wf_turn_belongs (flow, input))
+    {
+      if (undecided && !wf_registry_undecided (flow))
+        wf_registry_confirmed (agent, &flow->key);
+      wf_turn_from_client (agent, flow, handle, input);
+      return;
+    }
+  holder_id = undecided ? registered_holder (agent, input) : 0;
+  if (holder_id == 0)
+    {
+      wf_route_not_here (agent, input);
+      return;
+    }
+  wf_count (agent, WF_COUNTER_OTHER_HANDSHAKE);
+  wf_registry_yield (agent, flow, handle, holder_id);
+  wf_route_forward (agent, input, WW_ENCAP_TO_HOLDER, holder_id);
+}
+
 static void
 to_known (WfAgent *agent, WfFlow *flow, WbHandle handle, WfInput *input)
 {
@@ -298,10 +323,8 @@
     {
     case WF_FLOW_HELD:
       restart = is_new_connection (flow, input);
-      if (!restart && !wf_turn_belongs (flow, input))
-        wf_route_not_here (agent, input);
-      else if (!restart)
-        wf_turn_from_client (agent, flow, handle, input);
+      if (!restart)
+        to_held (agent, flow, handle, input);
       break;
     case WF_FLOW_PLACING:
     case WF_FLOW_WAITING:
--- a/tests/test-flow.c
+++ b/tests/test-flow.c
@@ -325,14 +325,15 @@
 
   place_syn (world, 0);
   place_syn (world, 1);
-  fw_run (world, 1 * S);
+  fw_run (world, 80 * S);
   for (i = 0; i < 3; i++)
     count += g_hash_table_size (world->agents[i].served);
   fw_free (world);
   return count;
 }
 
-/* Guards against two servers that keep a connection for one flow (R1). */
+/* Guards against two servers that keep a connection for one flow (R1). This client acknowledges
+ * neither answer, so that the home decides when the holder registers again after 60 s. */
 static void
 test_two_holders (void)
 {
