Remove what the usable endpoints replaced, and a second give-up step

Cause: wm_node_endpoints() has had no caller since both daemons use wm_node_usable_endpoints(), and the comment in wd.h still named it. wb_histogram_merge() never had one. The step that gives up an own flow under the release switch stood twice in the registry.

Change: the two functions are removed, the comment names the list in use, and settle_own() calls wf_registry_yield(). Behaviour is the same.

--- a/base/wb-histogram.c
+++ b/base/wb-histogram.c
@@ -62,18 +62,6 @@
   histogram->max = MAX (histogram->max, (gint64) clamped);
 }
 
-void
-wb_histogram_merge (WbHistogram *histogram, const WbHistogram *other)
-{
-  guint i;
-
-  for (i = 0; i < N_BUCKETS; i++)
-    histogram->buckets[i] += other->buckets[i];
-  histogram->count += other->count;
-  histogram->sum += other->sum;
-  histogram->max = MAX (histogram->max, other->max);
-}
-
 guint64
 wb_histogram_count (const WbHistogram *histogram)
 {
--- a/base/wb-histogram.h
+++ b/base/wb-histogram.h
@@ -16,9 +16,6 @@
 /** wb_histogram_record() - counts one value; a negative one counts as 0 */
 void wb_histogram_record (WbHistogram *histogram, gint64 value);
 
-/** wb_histogram_merge() - adds the counts of @other */
-void wb_histogram_merge (WbHistogram *histogram, const WbHistogram *other);
-
 guint64 wb_histogram_count (const WbHistogram *histogram);
 gdouble wb_histogram_mean (const WbHistogram *histogram);
 gint64 wb_histogram_max (const WbHistogram *histogram);
--- a/daemon/wd.h
+++ b/daemon/wd.h
@@ -14,7 +14,7 @@
 /**
  * struct WdCallbacks - what a daemon does on its own
  * @data_received: a datagram on the data address from a member's address
- * @members_changed: wm_node_endpoints() may give another result
+ * @members_changed: wm_node_usable_endpoints() may give another result
  * @config_changed: @config is in effect from now on
  * @tick: runs what is due
  * @next_us: when the next tick is due
--- a/flow/wf-registry.c
+++ b/flow/wf-registry.c
@@ -82,7 +82,7 @@
   wf_table_remove (agent->registry, handle);
 }
 
-/* The client has taken the answer of @holder_id, which has registered the flow. */
+/* @holder_id, which has registered the flow, keeps it instead of this endpoint. */
 void
 wf_registry_yield (WfAgent *agent, WfFlow *flow, WbHandle handle, guint64 holder_id)
 {
@@ -119,8 +119,7 @@
           send_release (agent, key, sender_id, agent->self_id);
           return FALSE;
         }
-      if (wf_enabled (agent, WF_DISABLE_RELEASE))
-        give_up_own (agent, flow, handle, sender_id);
+      wf_registry_yield (agent, flow, handle, sender_id);
       return TRUE;
     case WF_FLOW_TOMBSTONE:
       flow->peer_id = sender_id;
--- a/member/wm-view.c
+++ b/member/wm-view.c
@@ -19,23 +19,6 @@
   return members;
 }
 
-GArray *
-wm_node_endpoints (const WmNode *node, guint64 service_id)
-{
-  GArray *members = g_array_new (FALSE, FALSE, sizeof (ww_member));
-  guint i;
-
-  for (i = 0; i < node->rows->len; i++)
-    {
-      const ww_member *info = &g_array_index (node->rows, WmMember, i).info;
-
-      if (info->service_id == service_id && info->role == WW_ROLE_AGENT &&
-          info->state <= WW_MEMBER_SUSPECT)
-        g_array_append_vals (members, info, 1);
-    }
-  return members;
-}
-
 gboolean
 wm_node_is_member (const WmNode *node, guint32 address)
 {
--- a/member/wm.h
+++ b/member/wm.h
@@ -106,10 +106,6 @@
  * ones left out */
 GArray *wm_node_members (const WmNode *node);
 
-/** wm_node_endpoints() - (transfer container): members that are endpoints of a service and not dead
- */
-GArray *wm_node_endpoints (const WmNode *node, guint64 service_id);
-
 /**
  * wm_node_usable_endpoints() - (transfer container): endpoints that packets may be sent to
  * @service_id: 0 for the endpoints of all services
