Spread the member list of a fleet that starts at once within a second

Each of three contacts led a part of its own until the others joined the unknown contacts 1.5 s after the start, lists were compared every 500 ms, and only the contact knew the joining node, so that it had to answer for the whole list and used up its budget.

Change: a request for members carries the record of its sender, as a join does, so that any member can answer it. Contacts that have started lately are not asked for the list. Lists are compared every 50 ms at first, and unknown contacts are joined after 100 to 400 ms. The decoded request is freed, which it was not before.

--- a/fuzz/fuzz-wire.c
+++ b/fuzz/fuzz-wire.c
@@ -7,12 +7,19 @@
 try_bodies (const guint8 *body, gsize length)
 {
   static const xdrproc_t decoders[] = {
-    (xdrproc_t) xdr_ww_ping,          (xdrproc_t) xdr_ww_ping_req,
-    (xdrproc_t) xdr_ww_ack,           (xdrproc_t) xdr_ww_gossip,
-    (xdrproc_t) xdr_ww_config_fetch,  (xdrproc_t) xdr_ww_config_chunk,
-    (xdrproc_t) xdr_ww_status_reply,  (xdrproc_t) xdr_ww_metrics_reply,
-    (xdrproc_t) xdr_ww_members_reply, (xdrproc_t) xdr_ww_join,
-    (xdrproc_t) xdr_ww_list_request,  (xdrproc_t) xdr_ww_list_reply,
+    (xdrproc_t) xdr_ww_ping,
+    (xdrproc_t) xdr_ww_ping_req,
+    (xdrproc_t) xdr_ww_ack,
+    (xdrproc_t) xdr_ww_gossip,
+    (xdrproc_t) xdr_ww_config_fetch,
+    (xdrproc_t) xdr_ww_config_chunk,
+    (xdrproc_t) xdr_ww_status_reply,
+    (xdrproc_t) xdr_ww_metrics_reply,
+    (xdrproc_t) xdr_ww_members_reply,
+    (xdrproc_t) xdr_ww_join,
+    (xdrproc_t) xdr_ww_list_request,
+    (xdrproc_t) xdr_ww_list_reply,
+    (xdrproc_t) xdr_ww_members_request,
   };
   guint64 value[512];
   guint i;
--- a/member/wm-join.c
+++ b/member/wm-join.c
@@ -27,9 +27,9 @@
  * It is compared often at first, with another member each time, so that a fleet which starts at
  * once knows all its members after a few comparisons; then the interval doubles up to the usual
  * one. */
-#define SYNC_FIRST_INTERVAL_US (500 * WB_US_PER_MS)
-#define SYNC_FIRST_ROUNDS 8
-#define SYNC_MAX_SHIFT 5
+#define SYNC_FIRST_INTERVAL_US (50 * WB_US_PER_MS)
+#define SYNC_FIRST_ROUNDS 16
+#define SYNC_MAX_SHIFT 7
 
 /* Used while others know more members, as when many join at once. */
 #define SYNC_BEHIND_INTERVAL_US WB_US_PER_S
@@ -46,8 +46,10 @@
 /* Contacts of a fleet that starts at once know nobody yet, so that a node which has joined through
  * one of them asks the others too. The interval doubles up to that of the revival of dead members.
  */
-#define CONTACTS_INTERVAL_US (1500 * WB_US_PER_MS)
-#define CONTACTS_MAX_SHIFT 3
+#define CONTACTS_INTERVAL_US (100 * WB_US_PER_MS)
+#define CONTACTS_MAX_SHIFT 6
+/* Most nodes of a fleet that starts at once know the contacts before this time has passed. */
+#define CONTACTS_SPREAD_US (400 * WB_US_PER_MS)
 
 void
 wm_join_init (WmNode *node)
@@ -55,7 +57,8 @@
   node->join.todo = g_array_new (FALSE, FALSE, sizeof (guint));
   node->join.requests = g_array_new (FALSE, FALSE, sizeof (WmMembersRequest));
   node->join.retry_us = node->now_us;
-  node->join.contacts_us = node->now_us + CONTACTS_INTERVAL_US;
+  node->join.contacts_us =
+      node->now_us + g_rand_int_range (node->random, CONTACTS_INTERVAL_US, CONTACTS_SPREAD_US);
   node->join.sync_us = WB_NEVER;
   node->join.revive_us = node->now_us + REVIVE_INTERVAL_US;
 }
@@ -158,7 +161,7 @@
   const WmMember *row = wm_pick (node, wm_is_live, 0);
   gboolean first = !node->join.complete && node->join.contact.address != 0;
   guint32 known[WW_MAX_KNOWN];
-  ww_members_request body = { .sender_id = node->settings.id,
+  ww_members_request body = { .member = wm_self (node)->info,
                               .bucket = bucket,
                               .buckets = buckets,
                               .known = { list_known (node, bucket, buckets, known), known } };
@@ -167,7 +170,7 @@
 
   if (row == NULL)
     return;
-  /* The member that has answered the join knows this node; others turn it away until they do. */
+  /* A settled contact knows more members than those that joined with this node. */
   to = first ? node->join.contact : wm_contact (row);
   call.xid = add_request (node, bucket, buckets);
   wm_send (node, WM_CLASS_CONFIG, &to, &call, xdr_ww_members_request, &body);
@@ -281,7 +284,10 @@
       g_array_remove_index_fast (node->join.requests, (guint) number);
       if (!node->join.joined)
         {
-          node->join.contact = *from;
+          /* Contacts that have just started would be asked for whole lists by all others of a fleet
+           * that starts at once, which their budget does not allow. */
+          if (reply->settled)
+            node->join.contact = *from;
           wm_update_quiet (node, node->settings.id);
           begin_sync (node, reply->total);
         }
--- a/member/wm-node.c
+++ b/member/wm-node.c
@@ -301,7 +301,10 @@
     wm_serve_join (node, from, call->xid, &join);
   if (call->procedure == WW_PROC_MEMBERS &&
       decode (node, body, length, xdr_ww_members_request, &members))
-    wm_serve_members (node, from, call->xid, &members);
+    {
+      wm_serve_members (node, from, call->xid, &members);
+      ww_body_clear ((xdrproc_t) xdr_ww_members_request, &members);
+    }
   if (call->procedure == WW_PROC_CONFIG_FETCH &&
       decode (node, body, length, xdr_ww_config_fetch, &fetch))
     {
@@ -376,11 +379,18 @@
   ww_body_clear ((xdrproc_t) xdr_ww_ping, &ping);
 }
 
+/* Calls that carry the record of their sender. */
+static gboolean
+introduces_sender (const WwCall *call)
+{
+  return !call->is_reply && (call->procedure == WW_PROC_JOIN || call->procedure == WW_PROC_MEMBERS);
+}
+
 static gboolean
 dispatch (WmNode *node, const WmContact *from, const WwCall *call, const guint8 *body, gsize length)
 {
   if (!wm_node_is_member (node, from->address) && !is_contact (node, from->address) &&
-      call->procedure != WW_PROC_JOIN)
+      !introduces_sender (call))
     {
       receive_unknown (node, from, call, body, length);
       return TRUE;
--- a/member/wm-serve.c
+++ b/member/wm-serve.c
@@ -18,6 +18,7 @@
   WwCall call = { .xid = xid, .is_reply = TRUE };
 
   reply->sender_id = node->settings.id;
+  reply->settled = !wm_join_is_young (node);
   reply->config = wm_config_id (node);
   reply->total = wm_live_count (node);
   reply->members.members_val = members;
@@ -25,8 +26,21 @@
   wm_send (node, class, to, &call, xdr_ww_members_reply, reply);
 }
 
-/* The only message from unknown addresses (R4): it can only add or update a record whose address is
- * that of its sender. */
+/* What an unknown address may send (R4): it can only add or update a record whose address is that
+ * of its sender. */
+static gboolean
+take_sender (WmNode *node, const WmContact *from, const ww_member *member)
+{
+  if (member->address == from->address && wm_member_control_port (member) == from->port &&
+      member->id != node->settings.id && !node->leaving)
+    {
+      wm_apply_member (node, member, TRUE);
+      return TRUE;
+    }
+  wb_counters_add (node->counters, WM_COUNTER_UNKNOWN_SENDER, 1);
+  return FALSE;
+}
+
 void
 wm_serve_join (WmNode *node, const WmContact *from, guint32 xid, const ww_join *join)
 {
@@ -37,17 +51,11 @@
   const WmMember *row;
   guint count = 0, picked, i;
 
-  if (join->member.address != from->address ||
-      wm_member_control_port (&join->member) != from->port ||
-      join->member.id == node->settings.id || node->leaving)
-    {
-      wb_counters_add (node->counters, WM_COUNTER_UNKNOWN_SENDER, 1);
-      return;
-    }
+  if (!take_sender (node, from, &join->member))
+    return;
   if (join->target_id == node->settings.id && join->target_state != WW_MEMBER_ALIVE &&
       join->target_incarnation >= wm_self (node)->info.incarnation)
     wm_raise_incarnation (node, join->target_incarnation, TRUE);
-  wm_apply_member (node, &join->member, TRUE);
   row = wm_find (node, join->member.id);
   if (row != NULL &&
       (row->info.incarnation != join->member.incarnation || row->info.state != WW_MEMBER_ALIVE))
@@ -129,7 +137,8 @@
   ww_members_reply reply = { .bucket = request->bucket, .buckets = request->buckets };
   guint count = 0, i;
 
-  if (request->buckets == 0 || request->bucket >= request->buckets)
+  if (request->buckets == 0 || request->bucket >= request->buckets ||
+      !take_sender (node, from, &request->member))
     return;
   for (i = 0; i < node->rows->len && count < G_N_ELEMENTS (members); i++)
     {
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -56,6 +56,44 @@
   check_start_together (80, 8192, 14 * WB_US_PER_S);
 }
 
+/* Guards against a slow recovery after all hosts have failed at once: nodes that know a part of the
+ * endpoints send flows to that part only. A client gives up its first attempt after 1.4 s. */
+static void
+test_restart_together (void)
+{
+  check_start_together (20, 8192, WB_US_PER_S);
+  check_start_together (92, 8192, WB_US_PER_S);
+}
+
+/* Guards against R4: a request for members introduces its sender, but no other member. */
+static void
+test_request_introduces_sender (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (4, 1, 3, 1, 3);
+  ww_members_request request = { .buckets = 1 };
+  WwCall call = { .xid = 1, .procedure = WW_PROC_MEMBERS };
+  WmNode *asked;
+  guint i;
+
+  mn_start (net, 0);
+  mn_start (net, 1);
+  mn_run (net, WB_US_PER_S);
+  asked = net->nodes[0].core;
+  mn_start (net, 2);
+  mn_start (net, 3);
+  request.member = wm_self (net->nodes[2].core)->info;
+  for (i = 0; i < 2; i++)
+    {
+      const ww_member *sender = &wm_self (net->nodes[i == 0 ? 3 : 2].core)->info;
+      g_autoptr (GByteArray) bytes =
+          ww_call_encode (&call, (xdrproc_t) xdr_ww_members_request, &request, NULL);
+
+      wm_node_receive (asked, sender->address, wm_member_control_port (sender), bytes->data,
+                       bytes->len, net->now_us);
+      g_assert_cmpuint (wm_node_count (asked, WW_MEMBER_ALIVE), ==, 2 + i);
+    }
+}
+
 static gboolean
 knows_all (const MnNet *net, guint index, guint count)
 {
@@ -580,6 +618,8 @@
   g_test_add_func ("/member/budget", test_budget);
   g_test_add_func ("/member/zone", test_zone);
   g_test_add_func ("/member/watchers", test_watchers);
+  g_test_add_func ("/member/restart-together", test_restart_together);
+  g_test_add_func ("/member/request-introduces-sender", test_request_introduces_sender);
   g_test_add_func ("/member/unknown-sender", test_unknown_sender);
   g_test_add_func ("/member/delta", test_delta);
   g_test_add_func ("/member/config", test_config);
--- a/wire/ww-proto.h
+++ b/wire/ww-proto.h
@@ -316,7 +316,7 @@
 typedef struct ww_join ww_join;
 
 struct ww_members_request {
-	u_quad_t sender_id;
+	ww_member member;
 	u_int bucket;
 	u_int buckets;
 	struct {
@@ -328,6 +328,7 @@
 
 struct ww_members_reply {
 	u_quad_t sender_id;
+	bool_t settled;
 	ww_config_id config;
 	u_int bucket;
 	u_int buckets;
--- a/wire/ww-proto.x
+++ b/wire/ww-proto.x
@@ -270,7 +270,7 @@
   opaque text<WW_MAX_CHUNK>;
 };
 
-/* The only message accepted from an unknown address: the address inside has to be that of the sender. */
+/* Like ww_members_request accepted from an unknown address: the address inside has to be that of the sender. */
 struct ww_join {
   ww_member member;
   unsigned hyper target_id;
@@ -281,15 +281,17 @@
 /* Members are divided into buckets by id, so that the answers of several members can be combined.
  * The answer leaves out records whose fingerprint is among those known. */
 struct ww_members_request {
-  unsigned hyper sender_id;
+  ww_member member;
   unsigned bucket;
   unsigned buckets;
   unsigned known<WW_MAX_KNOWN>;
 };
 
-/* A bucket takes one or more parts; total is the number of all members. */
+/* A bucket takes one or more parts; total is the number of all members. A sender that is not settled has started
+ * lately, and its list may be incomplete. */
 struct ww_members_reply {
   unsigned hyper sender_id;
+  bool settled;
   ww_config_id config;
   unsigned bucket;
   unsigned buckets;
--- a/wire/ww-proto_xdr.c
+++ b/wire/ww-proto_xdr.c
@@ -769,7 +769,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
+	 if (!xdr_ww_member (xdrs, &objp->member))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->bucket))
 		 return FALSE;
@@ -789,6 +789,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->settled))
+			 return FALSE;
 		 if (!xdr_ww_config_id (xdrs, &objp->config))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
@@ -818,6 +820,8 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->settled))
+			 return FALSE;
 		 if (!xdr_ww_config_id (xdrs, &objp->config))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
@@ -848,6 +852,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->sender_id))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->settled))
+		 return FALSE;
 	 if (!xdr_ww_config_id (xdrs, &objp->config))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->bucket))
