Keep no slot for clients whose first payload is late

Cause: after an outage a tenth of the queued initial packets belong to clients that have given up. Without such clients the opposite happened: every payload let the next packet be opened ahead, whatever the server had queued, and 15 requests were at a server with 2 slots.

Change: a reservation ends, and another packet is opened ahead, after the mean time to the first payload and 4 mean deviations (RFC 6298), measured on every sixteenth reservation, which stays full. Requests that the server queues above its slots count against those opened ahead.

ahead-of-announced expected another packet opened ahead as soon as a payload had come, with one request queued at the server already; that let the queue there grow without bound. It now expects it when that request is done, and rush-after-outage bounds the queue at the server.

Ruled out: a queue limit (64) that refuses too early (counter 0), and servers that answer slowly when warm.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -80,6 +80,7 @@
   admission->mean_service_us[WC_CLASS_LONG] = INITIAL_LONG_US;
   admission->mean_service_us[WC_CLASS_MIXED] = INITIAL_MIXED_US;
   g_queue_init (&admission->opened);
+  g_queue_init (&admission->ahead);
   g_queue_init (&admission->reserved[0]);
   g_queue_init (&admission->reserved[1]);
   admission->reserve_used = 1;
@@ -232,7 +233,7 @@
   entry->queued_us = now_us - waited_us;
   entry->ahead = ahead;
   if (ahead)
-    admission->ahead++;
+    admission->ahead_queued++;
   wa_queue_push (admission, entry);
   if (initial)
     wa_pull_offer (admission, now_us);
@@ -419,6 +420,8 @@
 
         next_us = MIN (next_us, entry->started_us + wa_slots_reserve_time (admission, entry));
       }
+  if (admission->ahead.head != NULL)
+    next_us = MIN (next_us, wa_slots_ahead_until (admission, admission->ahead.head->data));
   if (admission->opened.head != NULL)
     next_us = MIN (next_us,
                    ((WaEntry *) admission->opened.head->data)->started_us + admission->deadline_us);
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -57,10 +57,11 @@
   gint64 on_time_us; /* admitted until then, the answer can meet its objective */
   gint64 waited_us;  /* as an initial packet */
   gint64 started_us;
+  gint64 delivered_us; /* initial packet */
   gint64 requested_us; /* first payload */
   gint64 charged_us;   /* service time that the tenant was charged in advance */
   GList by_age;        /* in WaAdmission.by_age, or in .reserved */
-  GList by_tenant;     /* in WaTenant.waiting */
+  GList by_tenant;     /* in WaTenant.waiting, or in WaAdmission.ahead */
 } WaEntry;
 
 /* A tenant's share of one level. */
@@ -149,12 +150,15 @@
 
   GHashTable *entries; /* of WaEntry by flow */
   guint in_use[WA_N_LEVELS];
-  GQueue reserved[2];     /* in order of expiry: full and brief reservations */
-  GQueue opened;          /* in order of the end of the reservation */
-  guint ahead;            /* entries opened ahead that have no slot yet */
-  gint64 mean_payload_us; /* from the initial packet to the first payload */
-  gdouble reserve_used;   /* share of the reservations that a payload followed in time */
-  guint reserve_probe;    /* counts reservations, to keep some of them long */
+  GQueue reserved[2]; /* in order of expiry: full and brief reservations */
+  GQueue opened;      /* in order of the end of the reservation */
+  GQueue ahead;       /* entries opened ahead whose first payload is still expected */
+  guint ahead_queued; /* entries opened ahead whose first payload waits for a slot */
+  guint payload_samples;
+  gint64 mean_payload_us;      /* from the initial packet to the first payload */
+  gint64 payload_deviation_us; /* mean, as RFC 6298 has it */
+  gdouble reserve_used;        /* share of the reservations that a payload followed in time */
+  guint reserve_probe;         /* counts reservations, to keep some of them long */
 
   GPtrArray *tenants[WA_N_LEVELS]; /* of WaTenant */
   GQueue by_age[WA_N_LEVELS];
@@ -223,6 +227,7 @@
 void wa_slots_take (WaAdmission *admission, WaEntry *entry, WaEntryState state, gint64 now_us);
 void wa_slots_release (WaAdmission *admission, WaEntry *entry, gint64 now_us);
 gint64 wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry);
+gint64 wa_slots_ahead_until (const WaAdmission *admission, const WaEntry *entry);
 void
 wa_slots_reserve_used (WaAdmission *admission, const WaEntry *entry, gboolean used, gint64 now_us);
 gint64 wa_slots_forget_opened (WaAdmission *admission, WbHandle flow, gboolean *ahead);
--- a/admission/wa-queue.c
+++ b/admission/wa-queue.c
@@ -83,7 +83,7 @@
 wa_queue_drop (WaAdmission *admission, WaEntry *entry)
 {
   if (entry->ahead)
-    admission->ahead--;
+    admission->ahead_queued--;
   wa_queue_remove (admission, entry);
   g_hash_table_remove (admission->entries, &entry->flow);
 }
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -7,6 +7,11 @@
 #define FULL_RESERVE_EVERY 16
 #define RESERVE_SHARE 32
 
+/* A payload that has not come after the mean and 4 mean deviations, the retransmission timeout of
+ * RFC 6298, was lost, or its client has gone: after an outage that is every tenth client. */
+#define PAYLOAD_SAMPLES_MIN 16
+#define PAYLOAD_DEVIATIONS 4
+
 /* Entries queued for each slot before one is opened ahead, and the part of a slot's time that the
  * wait for the payload has to take. */
 #define AHEAD_SHORT 1
@@ -84,7 +89,7 @@
 
   wa_predict_short_use (admission, now_us);
   if (entry->ahead)
-    admission->ahead--;
+    admission->ahead_queued--;
   entry->ahead = FALSE;
   entry->state = state;
   entry->started_us = now_us;
@@ -96,8 +101,10 @@
     entry->requested_us = now_us;
   if (state != WA_ENTRY_RESERVED)
     return;
-  entry->brief =
-      admission->reserve_used < BRIEF_BELOW && ++admission->reserve_probe % FULL_RESERVE_EVERY != 0;
+  entry->delivered_us = now_us;
+  entry->brief = (admission->reserve_used < BRIEF_BELOW ||
+                  admission->payload_samples >= PAYLOAD_SAMPLES_MIN) &&
+                 ++admission->reserve_probe % FULL_RESERVE_EVERY != 0;
   g_queue_push_tail_link (&admission->reserved[entry->brief], &entry->by_age);
 }
 
@@ -143,29 +150,80 @@
   if (ahead != NULL)
     *ahead = entry->ahead;
   if (entry->ahead)
-    admission->ahead--;
+    g_queue_unlink (&admission->ahead, &entry->by_tenant);
   g_queue_unlink (&admission->opened, &entry->by_age);
   g_hash_table_remove (admission->entries, &flow);
   return waited_us;
 }
 
+/* Time after the delivery of an initial packet in which its first payload is expected. */
+static gint64
+payload_time (const WaAdmission *admission)
+{
+  gint64 time_us =
+      admission->mean_payload_us + PAYLOAD_DEVIATIONS * admission->payload_deviation_us;
+
+  if (admission->payload_samples < PAYLOAD_SAMPLES_MIN)
+    return admission->open_reserve_us;
+  return MIN (MAX (time_us, BRIEF_RESERVE_US), admission->open_reserve_us);
+}
+
 gint64
 wa_slots_reserve_time (const WaAdmission *admission, const WaEntry *entry)
 {
-  return entry->brief ? MIN (BRIEF_RESERVE_US, admission->open_reserve_us)
-                      : admission->open_reserve_us;
+  if (!entry->brief)
+    return admission->open_reserve_us;
+  if (admission->reserve_used < BRIEF_BELOW)
+    return MIN (BRIEF_RESERVE_US, admission->open_reserve_us);
+  return payload_time (admission);
 }
 
-/* Only full reservations tell whether clients send in time. */
+static void
+record_payload (WaAdmission *admission, gint64 delay_us)
+{
+  gint64 error_us = delay_us - admission->mean_payload_us;
+
+  if (admission->payload_samples == 0)
+    {
+      admission->mean_payload_us = delay_us;
+      admission->payload_deviation_us = delay_us / 2;
+    }
+  else
+    {
+      admission->mean_payload_us += error_us / RESERVE_SHARE;
+      admission->payload_deviation_us +=
+          (ABS (error_us) - admission->payload_deviation_us) / RESERVE_SHARE;
+    }
+  admission->payload_samples = MIN (admission->payload_samples + 1, PAYLOAD_SAMPLES_MIN);
+}
+
+/* Only full reservations tell whether clients send in time, and how long they take. */
 void
 wa_slots_reserve_used (WaAdmission *admission, const WaEntry *entry, gboolean used, gint64 now_us)
 {
-  gint64 delay_us = now_us - entry->started_us;
-
+  if (entry->brief)
+    return;
   if (used)
-    admission->mean_payload_us += (delay_us - admission->mean_payload_us) / RESERVE_SHARE;
-  if (!entry->brief)
-    admission->reserve_used += ((used ? 1 : 0) - admission->reserve_used) / RESERVE_SHARE;
+    record_payload (admission, now_us - entry->delivered_us);
+  admission->reserve_used += ((used ? 1 : 0) - admission->reserve_used) / RESERVE_SHARE;
+}
+
+gint64
+wa_slots_ahead_until (const WaAdmission *admission, const WaEntry *entry)
+{
+  return entry->delivered_us + payload_time (admission);
+}
+
+/* Whether another initial packet may be delivered ahead of a free slot. Requests that a server
+ * queues above its slots count, as they hold the next one up. */
+static gboolean
+may_open_ahead (const WaAdmission *admission, gint64 now_us)
+{
+  guint usable = wa_slots_usable (admission, now_us);
+  guint limit = admission->server_known ? MAX (1, admission->slots / 2) : 1;
+  guint above = MAX (wa_slots_busy (admission), usable) - usable;
+
+  return above + admission->ahead.length + admission->ahead_queued < limit;
 }
 
 /* The next entry to open ahead, or NULL when the queue is not long enough. */
@@ -186,14 +244,6 @@
   return entry;
 }
 
-/* A server that announces its slots queues what comes above them, so that a handshake for every
- * second slot may be under way. */
-static guint
-ahead_limit (const WaAdmission *admission)
-{
-  return admission->server_known ? MAX (1, admission->slots / 2) : 1;
-}
-
 /* Delivers queued initial packets before a slot is free, so that their payload is there when one
  * is. Otherwise each slot stands empty for a round trip to the client between two flows, which
  * took 4.6% of the slot time of an overloaded endpoint. Few at a time, and only where the queue is
@@ -205,8 +255,7 @@
 
   if (admission->policy > WA_POLICY_NO_RESERVE || admission->reserve_used < BRIEF_BELOW)
     return;
-  while (admission->ahead < ahead_limit (admission) &&
-         (entry = next_ahead (admission, now_us)) != NULL)
+  while (may_open_ahead (admission, now_us) && (entry = next_ahead (admission, now_us)) != NULL)
     {
       WbHandle flow = entry->flow;
 
@@ -214,8 +263,8 @@
       entry->state = WA_ENTRY_OPENED;
       entry->ahead = TRUE;
       entry->waited_us = now_us - entry->queued_us;
-      entry->started_us = now_us;
-      admission->ahead++;
+      entry->started_us = entry->delivered_us = now_us;
+      g_queue_push_tail_link (&admission->ahead, &entry->by_tenant);
       g_queue_push_tail_link (&admission->opened, &entry->by_age);
       wb_counters_add (admission->counters, WA_COUNTER_OPENED_AHEAD, 1);
       admission->callbacks.admit (admission->callbacks.context, flow);
@@ -244,6 +293,23 @@
     }
 }
 
+/* Others are opened in place of those whose payload is late. */
+static void
+expire_ahead (WaAdmission *admission, gint64 now_us)
+{
+  GList *head;
+
+  while ((head = admission->ahead.head) != NULL)
+    {
+      WaEntry *entry = head->data;
+
+      if (now_us < wa_slots_ahead_until (admission, entry))
+        return;
+      g_queue_unlink (&admission->ahead, head);
+      entry->ahead = FALSE;
+    }
+}
+
 /* The wait of an initial packet counts against the deadline of a first request that comes within
  * that deadline: to the client both are one wait. */
 static void
@@ -266,5 +332,6 @@
 {
   expire (admission, &admission->reserved[0], now_us);
   expire (admission, &admission->reserved[1], now_us);
+  expire_ahead (admission, now_us);
   forget_old (admission, now_us);
 }
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -356,9 +356,108 @@
   wa_admission_run (net->admissions[0], net_handle (111), WC_CLASS_SHORT, 0, net->now_us);
   g_assert_cmpuint (wa_admission_in_use (net->admissions[0]), ==, 5);
   net_advance (net, 0, 0);
+  g_assert_cmpuint (net->admitted->len, ==, 2);
+  net_done (net, 0, 101);
+  g_assert_cmpuint (wa_admission_in_use (net->admissions[0]), ==, 4);
   g_assert_cmpuint (net->admitted->len, ==, 3);
 }
 
+#define RUSH_SLOTS 2
+#define RUSH_SERVICE_MS 26
+#define RUSH_PAYLOAD_MS 8
+#define RUSH_GONE_EVERY 8
+#define RUSH_WAITING 16
+#define RUSH_MS 4000
+/* 90% of the requests that the slots could serve. */
+#define RUSH_SERVED_MIN (RUSH_SLOTS * RUSH_MS / RUSH_SERVICE_MS * 9 / 10)
+
+typedef struct
+{
+  guint payload_ms[FLOWS]; /* when the first payload arrives; 0 for never */
+  guint running[RUSH_SLOTS];
+  guint done_ms[RUSH_SLOTS];
+  GQueue queued; /* flows at the server that wait for one of its slots */
+  guint opened;
+  guint admitted;
+  guint served;
+} Rush;
+
+static void
+rush_answer (Net *net, Rush *rush, guint flow, guint now_ms)
+{
+  wa_admission_answered (net->admissions[0], net_handle (flow), net->now_us);
+  if (flow % RUSH_GONE_EVERY != 0)
+    rush->payload_ms[flow] = now_ms + RUSH_PAYLOAD_MS;
+}
+
+static void
+rush_open (Net *net, Rush *rush, guint now_ms)
+{
+  while (wa_admission_waiting (net->admissions[0]) < RUSH_WAITING)
+    if (net_open (net, 0, ++rush->opened, WC_CLASS_SHORT, 0) == WA_ADMITTED)
+      rush_answer (net, rush, rush->opened, now_ms);
+  for (; rush->admitted < net->admitted->len; rush->admitted++)
+    rush_answer (net, rush, net_admitted_at (net, rush->admitted), now_ms);
+}
+
+static void
+rush_send (Net *net, Rush *rush, guint now_ms)
+{
+  guint flow;
+
+  for (flow = 1; flow <= rush->opened; flow++)
+    if (rush->payload_ms[flow] == now_ms)
+      {
+        wa_admission_run (net->admissions[0], net_handle (flow), WC_CLASS_SHORT, 0, net->now_us);
+        g_queue_push_tail (&rush->queued, GUINT_TO_POINTER (flow));
+      }
+}
+
+static void
+rush_serve (Net *net, Rush *rush, guint now_ms)
+{
+  guint i;
+
+  for (i = 0; i < RUSH_SLOTS; i++)
+    {
+      if (rush->running[i] != 0 && rush->done_ms[i] <= now_ms)
+        {
+          net_done (net, 0, rush->running[i]);
+          rush->served++;
+          rush->running[i] = 0;
+        }
+      if (rush->running[i] != 0 || g_queue_is_empty (&rush->queued))
+        continue;
+      rush->running[i] = GPOINTER_TO_UINT (g_queue_pop_head (&rush->queued));
+      rush->done_ms[i] = now_ms + RUSH_SERVICE_MS;
+    }
+}
+
+/* Guards against slots that stand empty while many wait, after an outage when every eighth client
+ * has given up before its initial packet was delivered; and against a server that is given more
+ * than it can hold. */
+static void
+test_rush_after_outage (void)
+{
+  g_autoptr (Net) net = net_new (RUSH_SLOTS, 0);
+  g_autofree Rush *rush = g_new0 (Rush, 1);
+  guint now_ms;
+
+  net->service->deadline_us = 60 * S;
+  net_restart (net, 0, FALSE);
+  wa_admission_set_server (net->admissions[0], RUSH_SLOTS, 0, net->now_us);
+  for (now_ms = 1; now_ms <= RUSH_MS; now_ms++)
+    {
+      rush_open (net, rush, now_ms);
+      rush_send (net, rush, now_ms);
+      rush_serve (net, rush, now_ms);
+      net_advance (net, 0, MS);
+      g_assert_cmpuint (g_queue_get_length (&rush->queued), <=, RUSH_SLOTS);
+    }
+  g_queue_clear (&rush->queued);
+  g_assert_cmpuint (rush->served, >=, RUSH_SERVED_MIN);
+}
+
 /* Guards against initial packets delivered ahead of a free slot whose requests exceed the slots,
  * and against more than one of them. */
 static void
@@ -692,6 +791,7 @@
   g_test_add_func ("/admission/late-payload", test_late_payload);
   g_test_add_func ("/admission/open-ahead", test_open_ahead);
   g_test_add_func ("/admission/ahead-of-announced", test_ahead_of_announced);
+  g_test_add_func ("/admission/rush-after-outage", test_rush_after_outage);
   g_test_add_func ("/admission/client-gone", test_client_gone);
   g_test_add_func ("/admission/cold-start", test_cold_start);
   g_test_add_func ("/admission/not-answering", test_not_answering);
