Count only requests for lists when a list of members is complete

A join that a contact does not answer stays outstanding for 5 s, and a node took its list for incomplete as long as any request was. Since unknown contacts are joined 100 to 400 ms after the start this happens whenever a contact comes up later than the others.

Change: joins no longer count for completeness, nor for the number of requests under way.

Ruled out: servers that had not announced themselves (state ready 3 ms after the start), and the time for which an agent waits for its members' versions (2 s).

Figures: restart-without-contact fails before and passes after.

--- a/member/wm-join.c
+++ b/member/wm-join.c
@@ -176,6 +176,18 @@
   wm_send (node, WM_CLASS_CONFIG, &to, &call, xdr_ww_members_request, &body);
 }
 
+/* Requests for buckets, without the joins sent to contacts that may be down. */
+static guint
+count_bucket_requests (const WmNode *node)
+{
+  guint count = 0;
+  guint i;
+
+  for (i = 0; i < node->join.requests->len; i++)
+    count += request_at (node, i)->buckets != 0;
+  return count;
+}
+
 /* Keeps a few requests under way until every bucket has been answered. */
 static void
 request_more (WmNode *node)
@@ -184,14 +196,14 @@
 
   if (!join->joined || join->complete)
     return;
-  while (join->todo->len > 0 && join->requests->len < WM_JOIN_WINDOW)
+  while (join->todo->len > 0 && count_bucket_requests (node) < WM_JOIN_WINDOW)
     {
       guint bucket = g_array_index (join->todo, guint, join->todo->len - 1);
 
       g_array_set_size (join->todo, join->todo->len - 1);
       request_bucket (node, bucket, join->buckets);
     }
-  if (join->todo->len == 0 && join->requests->len == 0)
+  if (join->todo->len == 0 && count_bucket_requests (node) == 0)
     {
       join->complete = TRUE;
       join->sync_us = node->now_us + SYNC_FIRST_INTERVAL_US;
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -65,6 +65,24 @@
   check_start_together (92, 8192, WB_US_PER_S);
 }
 
+/* Guards against a node that takes its list for incomplete for seconds because a contact does not
+ * answer: after all hosts have failed, some come back late. */
+static void
+test_restart_without_contact (void)
+{
+  g_autoptr (MnNet) net = mn_net_new (20, 3, 7, 3, 1);
+  guint i;
+
+  for (i = 1; i < net->count; i++)
+    {
+      net->nodes[i].settings.control_limit = 8192;
+      mn_start (net, i);
+    }
+  mn_run (net, WB_US_PER_S);
+  for (i = 1; i < net->count; i++)
+    g_assert_true (wm_node_knows_members (net->nodes[i].core));
+}
+
 /* Guards against R4: a request for members introduces its sender, but no other member. */
 static void
 test_request_introduces_sender (void)
@@ -619,6 +637,7 @@
   g_test_add_func ("/member/zone", test_zone);
   g_test_add_func ("/member/watchers", test_watchers);
   g_test_add_func ("/member/restart-together", test_restart_together);
+  g_test_add_func ("/member/restart-without-contact", test_restart_without_contact);
   g_test_add_func ("/member/request-introduces-sender", test_request_introduces_sender);
   g_test_add_func ("/member/unknown-sender", test_unknown_sender);
   g_test_add_func ("/member/delta", test_delta);
