Count the age of a client's copy as time that it has waited

Cause: after an outage the first copy of an initial packet that arrives is often the second or third, whose client gives up 0.8 s later. The wait was counted from the arrival, so that such a packet was kept for up to 1.2 s, delivered to nobody, and went before packets whose answer could be on time.

Change: the platform's packet format tells how long the client has waited, from the number of the copy and the client's schedule; admission counts that against the deadline and the objective.

Figures: waited-before-arrival and copies fail before.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -253,6 +253,7 @@
                    WbHandle flow,
                    WcClass class,
                    guint tenant,
+                   gint64 waited_us,
                    guint *retry_after_s,
                    gint64 now_us)
 {
@@ -267,12 +268,12 @@
   wa_pull_settle (admission);
   if (!hand_over && wa_slots_free (admission, wa_level (class), now_us))
     return admit_now (admission, flow, class, tenant, TRUE, now_us);
-  if (wa_refuse_on_arrival (admission, class, tenant, 0, now_us))
+  if (wa_refuse_on_arrival (admission, class, tenant, waited_us, now_us))
     return refuse_now (admission, retry_after_s, now_us);
   /* Handed over by the next tick, because the caller does not expect a grant before this returns.
    */
   admission->hand_over_due |= hand_over;
-  return queue_up (admission, flow, class, tenant, TRUE, 0, FALSE, now_us);
+  return queue_up (admission, flow, class, tenant, TRUE, waited_us, FALSE, now_us);
 }
 
 void
--- a/admission/wa.h
+++ b/admission/wa.h
@@ -96,6 +96,7 @@
 
 /**
  * wa_admission_open() - an initial packet has been placed here
+ * @waited_us: how long the client has waited already; counts against the deadline
  * @retry_after_s: (out): set for WA_REFUSED
  *
  * For protocols whose server answers the initial packet: three in a row that are not reported with
@@ -106,6 +107,7 @@
                              WbHandle flow,
                              WcClass class,
                              guint tenant,
+                             gint64 waited_us,
                              guint *retry_after_s,
                              gint64 now_us);
 
--- a/bench/admission-fake.c
+++ b/bench/admission-fake.c
@@ -312,7 +312,7 @@
   flow->endpoint = index;
   flow->state = FLOW_QUEUED;
   verdict = wa_admission_open (endpoint->admission, handle_of (job), told_class (fake, job),
-                               job_at (fake, job)->tenant, &retry_after_s, fake->now_us);
+                               job_at (fake, job)->tenant, 0, &retry_after_s, fake->now_us);
   if (verdict == WA_ADMITTED)
     opened (fake, job);
   else if (verdict == WA_REFUSED)
--- a/bench/bench-admission-cost-main.c
+++ b/bench/bench-admission-cost-main.c
@@ -76,7 +76,7 @@
   gint64 now_us, begin_us;
 
   for (i = 0; i < QUEUED + 4; i++, flow.index++)
-    if (wa_admission_open (admission, flow, i % 2, 1 + i * 7 % TENANTS, &retry_after_s, 0) ==
+    if (wa_admission_open (admission, flow, i % 2, 1 + i * 7 % TENANTS, 0, &retry_after_s, 0) ==
         WA_ADMITTED)
       g_array_append_val (admitted, flow);
   begin_us = g_get_monotonic_time ();
@@ -84,7 +84,7 @@
     {
       for (i = 0; i < rate * TICK_US / WB_US_PER_S; i++, flow.index++)
         {
-          wa_admission_open (admission, flow, i % 2, 1 + flow.index % TENANTS, &retry_after_s,
+          wa_admission_open (admission, flow, i % 2, 1 + flow.index % TENANTS, 0, &retry_after_s,
                              now_us);
           if (ended < admitted->len)
             wa_admission_done (admission, g_array_index (admitted, WbHandle, ended++), now_us);
--- a/flow/wf-agent.c
+++ b/flow/wf-agent.c
@@ -605,6 +605,19 @@
   return TRUE;
 }
 
+/* Reads the oldest queued packet. Return: FALSE when there is none. */
+gboolean
+wf_flow_first_queued (const WfAgent *agent, const WfFlow *flow, WwPacket *packet)
+{
+  const guint8 *data;
+  gsize length;
+
+  if (flow->queue == NULL || flow->queue->len == 0)
+    return FALSE;
+  data = g_bytes_get_data (g_ptr_array_index (flow->queue, 0), &length);
+  return agent->format->parse (data, length, packet) == WW_PACKET_OK;
+}
+
 void
 wf_deliver (WfAgent *agent, const guint8 *data, gsize length)
 {
--- a/flow/wf-hold.c
+++ b/flow/wf-hold.c
@@ -115,8 +115,8 @@
 ask_admission (WfAgent *agent, WbHandle handle)
 {
   WfFlow *flow = wf_table_get (agent->flows, handle);
-  WaVerdict (*ask) (WaAdmission *, WbHandle, WcClass, guint, guint *, gint64);
   guint retry_after_s = 1;
+  WwPacket initial;
   WaVerdict verdict;
 
   wf_flow_set_state (agent, flow, WF_FLOW_WAITING);
@@ -125,9 +125,14 @@
   wf_flow_classify (agent, flow);
   flow->flags |= WF_FLAG_ADMISSION;
   /* The initial packet of a UDP flow is the request itself. */
-  ask = flow->key.protocol == WW_PROTOCOL_UDP ? wa_admission_request : wa_admission_open;
-  verdict = ask (agent->admission, handle, (WcClass) flow->class, flow->tenant, &retry_after_s,
-                 agent->now_us);
+  if (flow->key.protocol == WW_PROTOCOL_UDP)
+    verdict = wa_admission_request (agent->admission, handle, (WcClass) flow->class, flow->tenant,
+                                    &retry_after_s, agent->now_us);
+  else
+    verdict =
+        wa_admission_open (agent->admission, handle, (WcClass) flow->class, flow->tenant,
+                           wf_flow_first_queued (agent, flow, &initial) ? initial.waited_us : 0,
+                           &retry_after_s, agent->now_us);
   flow = wf_table_get (agent->flows, handle);
   if (flow == NULL || flow->state != WF_FLOW_WAITING)
     return;
--- a/flow/wf-refuse.c
+++ b/flow/wf-refuse.c
@@ -232,9 +232,7 @@
 wf_refuse_initial (WfAgent *agent, WbHandle handle, guint retry_after_s)
 {
   WfFlow *flow = wf_table_get (agent->flows, handle);
-  WwPacket packet = { 0 };
-  gsize length = 0;
-  const guint8 *data = NULL;
+  WwPacket packet;
 
   if (flow->key.protocol == WW_PROTOCOL_UDP)
     {
@@ -247,9 +245,7 @@
                       WB_NUMBER ("held", agent->held), WB_NUMBER ("waiting", agent->waiting),
                       WB_TEXT ("server", wf_server_state_name (agent->server)));
   wf_count (agent, WF_COUNTER_R3_REFUSED_INITIAL);
-  if (flow->queue != NULL && flow->queue->len > 0)
-    data = g_bytes_get_data (g_ptr_array_index (flow->queue, 0), &length);
-  if (data == NULL || agent->format->parse (data, length, &packet) != WW_PACKET_OK)
+  if (!wf_flow_first_queued (agent, flow, &packet))
     {
       wf_flow_remove (agent, handle);
       return;
--- a/tests/admission-net.c
+++ b/tests/admission-net.c
@@ -118,7 +118,7 @@
 {
   static const State states[] = { OPEN, WAITING, REFUSED };
   WaVerdict verdict = wa_admission_open (net->admissions[endpoint], net_handle (flow), class,
-                                         tenant, &net->retry_after_s, net->now_us);
+                                         tenant, 0, &net->retry_after_s, net->now_us);
 
   net->states[endpoint][flow] = states[verdict];
   return verdict;
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -527,6 +527,35 @@
   g_assert_cmpint (net->states[0][2], ==, REFUSED);
 }
 
+/* Guards against an initial packet that is delivered after its client has given up, because its
+ * first copies were lost in an outage and the wait is counted from the one that arrived; and
+ * against such an entry that goes before one whose answer can be on time. */
+static void
+test_waited_before_arrival (void)
+{
+  g_autoptr (Net) net = net_new (1, 0);
+  WaAdmission *admission;
+
+  net->service->deadline_us = 1200 * MS;
+  net_restart (net, 0, FALSE);
+  admission = net->admissions[0];
+  net_occupy (net, 0, 1, WC_CLASS_SHORT);
+  g_assert_cmpint (wa_admission_open (admission, net_handle (2), WC_CLASS_SHORT, 0, 600 * MS,
+                                      &net->retry_after_s, net->now_us),
+                   ==, WA_QUEUED);
+  net->states[0][2] = WAITING;
+  wa_admission_set_goal (admission, net_handle (2), 0, 300 * MS, net->now_us);
+  net_open (net, 0, 3, WC_CLASS_SHORT, 0);
+  wa_admission_set_goal (admission, net_handle (3), 0, 300 * MS, net->now_us);
+  net_done (net, 0, 1);
+  g_assert_cmpint (net->states[0][3], ==, OPEN);
+  wa_admission_run (admission, net_handle (3), WC_CLASS_SHORT, 0, net->now_us);
+  net_advance (net, 0, 500 * MS);
+  g_assert_cmpint (net->states[0][2], ==, WAITING);
+  net_advance (net, 0, 100 * MS);
+  g_assert_cmpint (net->states[0][2], ==, REFUSED);
+}
+
 /* Guards against places and slots that stay taken by clients that have gone. */
 static void
 test_client_gone (void)
@@ -792,6 +821,7 @@
   g_test_add_func ("/admission/open-ahead", test_open_ahead);
   g_test_add_func ("/admission/ahead-of-announced", test_ahead_of_announced);
   g_test_add_func ("/admission/rush-after-outage", test_rush_after_outage);
+  g_test_add_func ("/admission/waited-before-arrival", test_waited_before_arrival);
   g_test_add_func ("/admission/client-gone", test_client_gone);
   g_test_add_func ("/admission/cold-start", test_cold_start);
   g_test_add_func ("/admission/not-answering", test_not_answering);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -16,6 +16,7 @@
 
 #define FLAGS_OFFSET 24
 #define FLAG_BOUNCED 32
+#define ACKNOWLEDGMENT_LAST 19
 
 /* Guards against fields read at a wrong place or in a wrong byte order. */
 static void
@@ -37,6 +38,23 @@
                    ==, WW_PACKET_MALFORMED);
 }
 
+/* Guards against a client that is made to wait past the end of its attempt, because a later copy of
+ * its initial packet is taken for the first. */
+static void
+test_copies (void)
+{
+  g_autofree guint8 *copy = g_memdup2 (example_initial, sizeof example_initial);
+  WwPacket packet;
+
+  g_assert_cmpint (wp_packet_format.parse (copy, sizeof example_initial, &packet), ==,
+                   WW_PACKET_OK);
+  g_assert_cmpint (packet.waited_us, ==, 0);
+  copy[ACKNOWLEDGMENT_LAST] = 2;
+  g_assert_cmpint (wp_packet_format.parse (copy, sizeof example_initial, &packet), ==,
+                   WW_PACKET_OK);
+  g_assert_cmpint (packet.waited_us, ==, 600 * WB_US_PER_MS);
+}
+
 /* Guards against a reset that clients do not take for one of the system's own. */
 static void
 test_reset (void)
@@ -245,6 +263,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform/packet", test_packet);
+  g_test_add_func ("/platform/copies", test_copies);
   g_test_add_func ("/platform/reset", test_reset);
   g_test_add_func ("/platform/returned", test_returned);
   g_test_add_func ("/platform/objects", test_objects);
--- a/wire/ww-packet.h
+++ b/wire/ww-packet.h
@@ -34,6 +34,8 @@
  * @tcp_flags: WW_TCP_*; 0 for other protocols
  * @payload: points into the packet read
  * @copy: number of the copy of an initial packet, where the format tells; 0 for the first
+ * @waited_us: how long the client has waited since the first copy of an initial packet, where the
+ *   format tells
  * @returned: the backend server does not hold the flow and sends the client's packet back
  */
 typedef struct
@@ -50,6 +52,7 @@
   const guint8 *payload;
   gsize payload_length;
   guint copy;
+  gint64 waited_us;
   gboolean returned;
 } WwPacket;
 
