Open at least two packets ahead where the server queues itself

Change: the limit is two at least. Requests above the slots still count, so that the queue at the server stays bounded.

--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -16,6 +16,9 @@
  * wait for the payload has to take. */
 #define AHEAD_SHORT 1
 #define AHEAD_REST 2
+/* A server that announces its slots queues what comes above them: one request there is served next,
+ * while the packet of another is on its way. */
+#define AHEAD_ANNOUNCED_MIN 2
 #define AHEAD_SHARE 50
 
 WaLevel
@@ -220,7 +223,7 @@
 may_open_ahead (const WaAdmission *admission, gint64 now_us)
 {
   guint usable = wa_slots_usable (admission, now_us);
-  guint limit = admission->server_known ? MAX (1, admission->slots / 2) : 1;
+  guint limit = admission->server_known ? MAX (AHEAD_ANNOUNCED_MIN, admission->slots / 2) : 1;
   guint above = MAX (wa_slots_busy (admission), usable) - usable;
 
   return above + admission->ahead.length + admission->ahead_queued < limit;
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -368,8 +368,8 @@
 #define RUSH_GONE_EVERY 8
 #define RUSH_WAITING 16
 #define RUSH_MS 4000
-/* 90% of the requests that the slots could serve. */
-#define RUSH_SERVED_MIN (RUSH_SLOTS * RUSH_MS / RUSH_SERVICE_MS * 9 / 10)
+/* 95% of the requests that the slots could serve. */
+#define RUSH_SERVED_MIN (RUSH_SLOTS * RUSH_MS / RUSH_SERVICE_MS * 95 / 100)
 
 typedef struct
 {
