Take a server that returns initial packets for full

Cause: a crashed server returns each initial packet at once. Its agent took it for ready until its announcements had failed to come for 2.5 to 3.4 s, had all slots free and so was first in every placement and pulled the queues of its peers.

Change: three returned initial packets in a row make the endpoint count as full, as unanswered ones do, but for 200 ms, because a trial costs a flow only some milliseconds. A reservation now ends early only when the server has answered, so that a slow server is not taken for one that does not answer.

Ruled out: balancers cut off from the store (they forward as before) and agents on the crashed hosts (they run).

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -358,6 +358,13 @@
     entry->answered = TRUE;
 }
 
+void
+wa_admission_returned (WaAdmission *admission, WbHandle flow, gint64 now_us)
+{
+  wa_evidence_returned (admission, now_us);
+  wa_admission_remove (admission, flow, now_us);
+}
+
 void
 wa_admission_done (WaAdmission *admission, WbHandle flow, gint64 now_us)
 {
--- a/admission/wa-evidence.c
+++ b/admission/wa-evidence.c
@@ -6,8 +6,10 @@
  * or two can be lost on the way between agent and server. */
 #define UNANSWERED_LIMIT 3
 
-/* After this time a server that did not answer gets one initial packet to try. */
+/* After this time a server that did not answer gets one initial packet to try. One that returned
+ * the packets costs the flow that is tried a few milliseconds only. */
 #define RETRY_SERVER_US (3 * WB_US_PER_S)
+#define RETRY_RETURNING_US (200 * WB_US_PER_MS)
 
 /* An endpoint that offers has all slots in use. Within this time it cannot become half empty,
  * unless its reports are wrong. */
@@ -41,16 +43,27 @@
   admission->unanswered = 0;
 }
 
+static void
+count_unanswered (WaAdmission *admission, gint64 retry_us)
+{
+  if (++admission->unanswered < UNANSWERED_LIMIT)
+    return;
+  admission->not_answering_until_us = MAX (admission->not_answering_until_us, retry_us);
+  admission->unanswered = UNANSWERED_LIMIT - 1;
+  wb_counters_add (admission->counters, WA_COUNTER_NOT_ANSWERING, 1);
+}
+
 void
 wa_evidence_unanswered (WaAdmission *admission, gint64 now_us)
 {
-  admission->unanswered++;
-  if (admission->unanswered >= UNANSWERED_LIMIT)
-    {
-      admission->not_answering_until_us = now_us + RETRY_SERVER_US;
-      admission->unanswered = UNANSWERED_LIMIT - 1;
-      wb_counters_add (admission->counters, WA_COUNTER_NOT_ANSWERING, 1);
-    }
+  count_unanswered (admission, now_us + RETRY_SERVER_US);
+}
+
+/* A server that returns everything is idle, so that it would attract the flows of all others. */
+void
+wa_evidence_returned (WaAdmission *admission, gint64 now_us)
+{
+  count_unanswered (admission, now_us + RETRY_RETURNING_US);
 }
 
 gboolean
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -261,6 +261,7 @@
 /* wa-evidence.c */
 void wa_evidence_answered (WaAdmission *admission);
 void wa_evidence_unanswered (WaAdmission *admission, gint64 now_us);
+void wa_evidence_returned (WaAdmission *admission, gint64 now_us);
 gboolean wa_evidence_not_answering (const WaAdmission *admission, gint64 now_us);
 void wa_evidence_service (WaAdmission *admission, WcClass class, gint64 service_us);
 guint32 wa_evidence_flags (const WaAdmission *admission);
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -285,6 +285,14 @@
 
       if (now_us - entry->started_us < wa_slots_reserve_time (admission, entry))
         return;
+      /* The client cannot send before the server has answered. */
+      if (entry->brief && !entry->answered)
+        {
+          entry->brief = FALSE;
+          g_queue_unlink (reserved, head);
+          g_queue_push_tail_link (&admission->reserved[0], head);
+          continue;
+        }
       wb_counters_add (admission->counters, WA_COUNTER_RESERVE_EXPIRED, 1);
       wa_slots_reserve_used (admission, entry, FALSE, now_us);
       if (!entry->answered)
@@ -333,8 +341,8 @@
 void
 wa_slots_expire (WaAdmission *admission, gint64 now_us)
 {
-  expire (admission, &admission->reserved[0], now_us);
   expire (admission, &admission->reserved[1], now_us);
+  expire (admission, &admission->reserved[0], now_us);
   expire_ahead (admission, now_us);
   forget_old (admission, now_us);
 }
--- a/admission/wa.h
+++ b/admission/wa.h
@@ -149,6 +149,10 @@
 /** wa_admission_answered() - the server has answered the initial packet */
 void wa_admission_answered (WaAdmission *admission, WbHandle flow, gint64 now_us);
 
+/** wa_admission_returned() - the server has not accepted the initial packet; frees its slot. Three
+ * in a row make the endpoint count as full for a moment. */
+void wa_admission_returned (WaAdmission *admission, WbHandle flow, gint64 now_us);
+
 /** wa_admission_done() - the request in progress on the flow is complete; frees its slot */
 void wa_admission_done (WaAdmission *admission, WbHandle flow, gint64 now_us);
 
--- a/flow/wf-return.c
+++ b/flow/wf-return.c
@@ -48,7 +48,7 @@
   wf_register_flush (agent);
   wf_route_forward (agent, input, WW_ENCAP_PLACE, peer_id);
   if (flow->flags & WF_FLAG_ADMISSION)
-    wa_admission_remove (agent->admission, handle, agent->now_us);
+    wa_admission_returned (agent->admission, handle, agent->now_us);
   wf_hold_tombstone (agent, flow, handle, peer_id);
 }
 
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -616,6 +616,36 @@
   g_assert_cmpuint (net_counter (net, 0, "admission_not_answering"), ==, 2);
 }
 
+/* Guards against a crashed server that returns every initial packet at once and therefore looks
+ * idle, so that the flows of its peers go to it; and against one that stays avoided once it is
+ * back. */
+static void
+test_returning (void)
+{
+  g_autoptr (Net) net = net_new (4, 0);
+  guint i;
+
+  for (i = 1; i <= 3; i++)
+    {
+      net_open (net, 0, i, WC_CLASS_SHORT, 0);
+      net->states[0][i] = GONE;
+      wa_admission_returned (net->admissions[0], net_handle (i), net->now_us);
+    }
+  g_assert_cmpuint (wa_admission_in_use (net->admissions[0]), ==, 0);
+  net_place (net, 0, 4, 0);
+  net_deliver_all (net, 1);
+  g_assert_cmpuint (net->placed_on[4], >, 1);
+  net_open (net, 0, 5, WC_CLASS_SHORT, 0);
+  net_advance (net, 0, 0);
+  g_assert_cmpint (net->states[0][5], ==, GRANTED);
+  net_advance (net, 0, 200 * MS);
+  g_assert_cmpint (net_open (net, 0, 6, WC_CLASS_SHORT, 0), ==, WA_ADMITTED);
+  wa_admission_answered (net->admissions[0], net_handle (6), net->now_us);
+  g_assert_cmpuint (wa_admission_occupancy (net->admissions[0], net->now_us).flags &
+                        WA_OCCUPANCY_NOT_ANSWERING,
+                    ==, 0);
+}
+
 /* Guards against an endpoint that gets all flows because it always reports itself as empty. */
 static void
 test_misleading (void)
@@ -825,6 +855,7 @@
   g_test_add_func ("/admission/client-gone", test_client_gone);
   g_test_add_func ("/admission/cold-start", test_cold_start);
   g_test_add_func ("/admission/not-answering", test_not_answering);
+  g_test_add_func ("/admission/returning", test_returning);
   g_test_add_func ("/admission/misleading", test_misleading);
   g_test_add_func ("/admission/slow", test_slow);
   g_test_add_func ("/admission/unknown-sender", test_unknown_sender);
