Serve waits and service times in the exposition format

Change: counters and summaries carry type lines, summaries have _sum instead of _mean, labels are quoted and escaped and name the service; agents add request_service_us. Histograms are allocated with the first value, as one takes 8 KB and most tenants use one class.

Ruled out: a client library for metrics; the text is two functions, and the counters are our own.

--- a/admission/wa-admission.c
+++ b/admission/wa-admission.c
@@ -29,7 +29,10 @@
   guint i;
 
   for (i = 0; i < WC_N_CLASSES; i++)
-    wb_histogram_free (tenant->wait[i]);
+    {
+      wb_histogram_free (tenant->wait[i]);
+      wb_histogram_free (tenant->service[i]);
+    }
   g_free (tenant);
 }
 
@@ -37,12 +40,9 @@
 add_tenant (WaAdmission *admission, WaLevel level, guint weight)
 {
   WaTenant *tenant = g_new0 (WaTenant, 1);
-  guint i;
 
   tenant->weight = MAX (1, weight);
   g_queue_init (&tenant->waiting);
-  for (i = 0; i < WC_N_CLASSES; i++)
-    tenant->wait[i] = wb_histogram_new ();
   g_ptr_array_add (admission->tenants[level], tenant);
 }
 
@@ -201,6 +201,15 @@
   return entry;
 }
 
+/* Most tenants have requests of one class only, and a histogram takes 8 KB. */
+void
+wa_record (WbHistogram **histogram, gint64 value)
+{
+  if (*histogram == NULL)
+    *histogram = wb_histogram_new ();
+  wb_histogram_record (*histogram, value);
+}
+
 static WaVerdict
 admit_now (WaAdmission *admission,
            WbHandle flow,
@@ -212,7 +221,7 @@
   WaEntry *entry = add_entry (admission, flow, class, tenant);
 
   wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
-  wb_histogram_record (wa_tenant (admission, wa_level (class), entry->tenant)->wait[class], 0);
+  wa_record (&wa_tenant (admission, wa_level (class), entry->tenant)->wait[class], 0);
   wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
   return WA_ADMITTED;
 }
@@ -471,14 +480,28 @@
   return admission->counters;
 }
 
+static const WaTenant *
+find_tenant (const WaAdmission *admission, WcClass class, guint tenant)
+{
+  const GPtrArray *tenants = admission->tenants[wa_level (class)];
+
+  return tenant < tenants->len ? g_ptr_array_index (tenants, tenant) : NULL;
+}
+
 const WbHistogram *
 wa_admission_wait (const WaAdmission *admission, WcClass class, guint tenant)
 {
-  const GPtrArray *tenants = admission->tenants[wa_level (class)];
+  const WaTenant *found = find_tenant (admission, class, tenant);
+
+  return found != NULL ? found->wait[class] : NULL;
+}
+
+const WbHistogram *
+wa_admission_service (const WaAdmission *admission, WcClass class, guint tenant)
+{
+  const WaTenant *found = find_tenant (admission, class, tenant);
 
-  if (tenant >= tenants->len)
-    return NULL;
-  return ((const WaTenant *) g_ptr_array_index (tenants, tenant))->wait[class];
+  return found != NULL ? found->service[class] : NULL;
 }
 
 guint
--- a/admission/wa-private.h
+++ b/admission/wa-private.h
@@ -72,7 +72,8 @@
   guint in_use;
   GQueue waiting;
   guint waiting_by_class[WC_N_CLASSES];
-  WbHistogram *wait[WC_N_CLASSES];
+  WbHistogram *wait[WC_N_CLASSES];    /* NULL while nothing was recorded */
+  WbHistogram *service[WC_N_CLASSES]; /* from the first payload to the end of the response */
 } WaTenant;
 
 typedef struct
@@ -215,6 +216,9 @@
 /* wa-counters.c */
 WbCounters *wa_counters_new (void);
 
+/* wa-admission.c */
+void wa_record (WbHistogram **histogram, gint64 value);
+
 /* wa-slots.c */
 WaLevel wa_level (WcClass class);
 WaEntry *wa_entry_get (const WaAdmission *admission, WbHandle flow);
--- a/admission/wa-queue.c
+++ b/admission/wa-queue.c
@@ -219,9 +219,8 @@
       wa_queue_remove (admission, entry);
       entry->waited_us = now_us - entry->queued_us;
       wa_slots_take (admission, entry, initial ? WA_ENTRY_RESERVED : WA_ENTRY_BUSY, now_us);
-      wb_histogram_record (
-          wa_tenant (admission, wa_level (entry->class), entry->tenant)->wait[entry->class],
-          entry->waited_us);
+      wa_record (&wa_tenant (admission, wa_level (entry->class), entry->tenant)->wait[entry->class],
+                 entry->waited_us);
       wb_counters_add (admission->counters, WA_COUNTER_ADMITTED, 1);
       admission->callbacks.admit (admission->callbacks.context, flow);
     }
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -126,8 +126,10 @@
   tenant->in_use--;
   admission->in_use[level]--;
   wa_predict_record (admission, entry->class, used_us);
-  if (entry->state == WA_ENTRY_BUSY && entry->requested_us != 0)
-    wa_evidence_service (admission, entry->class, now_us - entry->requested_us);
+  if (entry->state != WA_ENTRY_BUSY || entry->requested_us == 0)
+    return;
+  wa_evidence_service (admission, entry->class, now_us - entry->requested_us);
+  wa_record (&tenant->service[entry->class], now_us - entry->requested_us);
 }
 
 /* Frees the entry's slot and the entry. */
--- a/admission/wa.h
+++ b/admission/wa.h
@@ -180,6 +180,10 @@
  * tenant, or NULL */
 const WbHistogram *wa_admission_wait (const WaAdmission *admission, WcClass class, guint tenant);
 
+/** wa_admission_service() - histogram of the time in microseconds from the first payload of a
+ * request to the end of its response, or NULL */
+const WbHistogram *wa_admission_service (const WaAdmission *admission, WcClass class, guint tenant);
+
 /** Flags of ww_occupancy. Bits 16 to 31 carry the typical service time: see wa-evidence.c. */
 #define WA_OCCUPANCY_DRAINING 0x1
 #define WA_OCCUPANCY_COLD 0x2
--- a/base/wb-counter.c
+++ b/base/wb-counter.c
@@ -54,6 +54,7 @@
   guint i;
 
   for (i = 0; i < counters->count; i++)
-    g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", counters->definitions[i].name,
+    g_string_append_printf (text, "# TYPE %s counter\n%s %" G_GUINT64_FORMAT "\n",
+                            counters->definitions[i].name, counters->definitions[i].name,
                             counters->values[i]);
 }
--- a/base/wb-histogram.c
+++ b/base/wb-histogram.c
@@ -110,11 +110,17 @@
   guint i;
 
   for (i = 0; i < G_N_ELEMENTS (quantiles); i++)
-    g_string_append_printf (text, "%s{%s,quantile=%g} %" G_GINT64_FORMAT "\n", name, labels,
+    g_string_append_printf (text, "%s{%s,quantile=\"%g\"} %" G_GINT64_FORMAT "\n", name, labels,
                             quantiles[i], wb_histogram_quantile (histogram, quantiles[i]));
+  g_string_append_printf (text, "%s_sum{%s} %.0f\n", name, labels, histogram->sum);
   g_string_append_printf (text, "%s_count{%s} %" G_GUINT64_FORMAT "\n", name, labels,
                           wb_histogram_count (histogram));
-  g_string_append_printf (text, "%s_mean{%s} %.0f\n", name, labels, wb_histogram_mean (histogram));
   g_string_append_printf (text, "%s_max{%s} %" G_GINT64_FORMAT "\n", name, labels,
                           wb_histogram_max (histogram));
 }
+
+void
+wb_histogram_append_type (const gchar *name, GString *text)
+{
+  g_string_append_printf (text, "# TYPE %s summary\n", name);
+}
--- a/base/wb-histogram.h
+++ b/base/wb-histogram.h
@@ -29,13 +29,18 @@
 gint64 wb_histogram_quantile (const WbHistogram *histogram, gdouble quantile);
 
 /**
- * wb_histogram_append_text() - appends lines "name{labels,quantile} value" for the quantiles 0.5,
- * 0.99 and 0.999, and the lines name_count, name_mean and name_max
- * @labels: "key=value" pairs separated by commas
+ * wb_histogram_append_text() - appends a summary in the exposition format: the quantiles 0.5, 0.99
+ * and 0.999, name_sum and name_count; and name_max
+ * @labels: key="value" pairs separated by commas
+ *
+ * The lines of one name follow wb_histogram_append_type().
  */
 void wb_histogram_append_text (const WbHistogram *histogram,
                                const gchar *name,
                                const gchar *labels,
                                GString *text);
 
+/** wb_histogram_append_type() - appends the line that announces a summary of this name */
+void wb_histogram_append_type (const gchar *name, GString *text);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (WbHistogram, wb_histogram_free)
--- a/flow/wf-turn.c
+++ b/flow/wf-turn.c
@@ -163,7 +163,7 @@
                            agent->format->request_id_header, id))
     return;
   WW_FLOW_LOG_ALWAYS ("request", &flow->key, WB_TEXT ("request", id),
-                      WB_NUMBER ("busy", agent->held),
+                      WB_NUMBER ("held", agent->held),
                       WB_NUMBER ("config", agent->config == NULL ? 0 : agent->config->version));
 }
 
--- a/waxwinghitch-agent/agt-daemon.c
+++ b/waxwinghitch-agent/agt-daemon.c
@@ -16,6 +16,7 @@
   WwPktio *server;
   guint64 id;
   guint64 service_id;
+  gchar *service;
   guint64 host_id;
   GHashTable *addresses; /* endpoint id to WcAddress */
   gint64 stop_limit_us;
@@ -158,7 +159,8 @@
 
   wb_log_state ("server_changed", WB_TEXT ("server", wf_server_name (daemon->announced)),
                 WB_TEXT ("state", wf_server_state_name (state)),
-                WB_NUMBER ("slots", wf_server_slots (daemon->announced)));
+                WB_NUMBER ("slots", wf_server_slots (daemon->announced)),
+                WB_NUMBER ("cold_ms", wf_server_cold_us (daemon->announced) / WB_US_PER_MS));
   wf_agent_set_capacity (daemon->agent, wf_server_slots (daemon->announced),
                          wf_server_cold_us (daemon->announced), now_us);
   wf_agent_set_server (daemon->agent, state, now_us);
@@ -299,7 +301,7 @@
 {
   AgtDaemon *daemon = context;
 
-  agt_metrics_append (daemon->agent, wd_node_config (daemon->node), text);
+  agt_metrics_append (daemon->agent, wd_node_config (daemon->node), daemon->service, text);
 }
 
 static gboolean
@@ -334,6 +336,7 @@
 
   daemon->id = wb_name_id (settings->name);
   daemon->service_id = wb_name_id (settings->service);
+  daemon->service = g_strescape (settings->service, NULL);
   daemon->host_id = wb_name_id (settings->host);
   daemon->stop_limit_us = settings->stop_limit_us;
   daemon->linger_us = settings->leave_linger_us != 0 ? settings->leave_linger_us : LEAVE_LINGER_US;
@@ -374,6 +377,7 @@
   wf_agent_free (daemon->agent);
   wf_server_free (daemon->announced);
   g_hash_table_unref (daemon->addresses);
+  g_free (daemon->service);
   g_free (daemon);
 }
 
--- a/waxwinghitch-agent/agt-metrics.c
+++ b/waxwinghitch-agent/agt-metrics.c
@@ -2,32 +2,44 @@
 
 /* One block of lines for each class and tenant that has been admitted. */
 static void
-append_waits (const WaAdmission *admission, const WcConfig *config, GString *text)
+append_times (const WaAdmission *admission,
+              const WcConfig *config,
+              const gchar *service,
+              const gchar *name,
+              const WbHistogram *(*find) (const WaAdmission *, WcClass, guint),
+              GString *text)
 {
   guint class, tenant;
 
+  wb_histogram_append_type (name, text);
   for (class = 0; class < WC_N_CLASSES; class ++)
     for (tenant = 0; tenant < config->tenants->len; tenant++)
       {
         const WcTenant *entry = g_ptr_array_index (config->tenants, tenant);
-        const WbHistogram *wait = wa_admission_wait (admission, (WcClass) class, tenant);
+        const WbHistogram *times = find (admission, (WcClass) class, tenant);
+        g_autofree gchar *tenant_name = g_strescape (entry->name, NULL);
         g_autofree gchar *labels = NULL;
 
-        if (wait == NULL || wb_histogram_count (wait) == 0)
+        if (times == NULL || wb_histogram_count (times) == 0)
           continue;
-        labels =
-            g_strdup_printf ("class=%s,tenant=%s", wc_class_name ((WcClass) class), entry->name);
-        wb_histogram_append_text (wait, "admission_wait_us", labels, text);
+        labels = g_strdup_printf ("service=\"%s\",class=\"%s\",tenant=\"%s\"", service,
+                                  wc_class_name ((WcClass) class), tenant_name);
+        wb_histogram_append_text (times, name, labels, text);
       }
 }
 
 void
-agt_metrics_append (const WfAgent *agent, const WcConfig *config, GString *text)
+agt_metrics_append (const WfAgent *agent,
+                    const WcConfig *config,
+                    const gchar *service,
+                    GString *text)
 {
   const WaAdmission *admission = wf_agent_admission (agent);
 
   wb_counters_append_text (wf_agent_counters (agent), text);
   wb_counters_append_text (wa_admission_counters (admission), text);
-  if (config != NULL)
-    append_waits (admission, config, text);
+  if (config == NULL)
+    return;
+  append_times (admission, config, service, "admission_wait_us", wa_admission_wait, text);
+  append_times (admission, config, service, "request_service_us", wa_admission_service, text);
 }
--- a/waxwinghitch-agent/agt.h
+++ b/waxwinghitch-agent/agt.h
@@ -19,7 +19,11 @@
 void agt_daemon_run (AgtDaemon *daemon);
 
 /**
- * agt_metrics_append() - appends the agent's counters and its wait histograms per class and tenant
+ * agt_metrics_append() - appends the agent's counters, and its waits and service times per class
+ * and tenant of @service
  * @config: the configuration in effect, for the tenants' names, or NULL
  */
-void agt_metrics_append (const WfAgent *agent, const WcConfig *config, GString *text);
+void agt_metrics_append (const WfAgent *agent,
+                         const WcConfig *config,
+                         const gchar *service,
+                         GString *text);
