Reset no flow that a new server process has answered

The agent compared the time of the first delivery with the start of the new process.

Change: the process that answers the initial packet holds the flow, so that the time of that answer counts.

Ruled out: a claim by a probe (no flow_probed line).

Figures: return/server-replaced-repeated fails before.

--- a/flow/wf-turn.c
+++ b/flow/wf-turn.c
@@ -288,6 +288,9 @@
   if ((flow->flags & WF_FLAG_ANSWERED) == 0)
     {
       flow->flags |= WF_FLAG_ANSWERED;
+      /* The process that answers holds the flow, also when an earlier one was given its first
+       * initial packet. */
+      flow->data_us = agent->now_us;
       flow->server_next = packet->sequence;
       flow->client_ack = packet->sequence;
       wa_admission_answered (agent->admission, handle, agent->now_us);
--- a/tests/scripted/commands.sh
+++ b/tests/scripted/commands.sh
@@ -99,6 +99,8 @@
   run explain "100.65.1.145:1094>198.18.0.1:8443" logs/refused.log
   run explain "127.77.0.1:3445>198.18.0.1:1001" logs/lost.log
   run explain q-1520 logs/refused.log logs/lost.log logs/silent.log
+  run explain 064b5cd6ff9d00d5 logs/crashed.log
+  run explain 100.65.1.145 logs/refused.log logs/crashed.log
   run explain q-none logs/lost.log
   run explain
   run balancer
--- a/tests/test-return.c
+++ b/tests/test-return.c
@@ -426,6 +426,25 @@
   g_assert_cmpuint (wf_agent_flows_held (world->agent), ==, 1);
 }
 
+/* Guards against the same when the earlier process was given the first copy and did not answer. */
+static void
+test_server_replaced_repeated (void)
+{
+  g_autoptr (World) world = world_new (TRUE, FALSE);
+  WwPacket initial = from_client (WW_TCP_SYN, CLIENT_SEQUENCE, 0, 0);
+  gint64 started_us;
+
+  receive (world, &initial, WW_ENCAP_PLACE);
+  advance (world, 100 * WB_US_PER_MS);
+  started_us = world->now_us;
+  advance (world, 100 * WB_US_PER_MS);
+  open_flow (world);
+  world->client.count = 0;
+  wf_agent_server_replaced (world->agent, started_us, world->now_us);
+  g_assert_cmpuint (world->client.count, ==, 0);
+  g_assert_cmpuint (wf_agent_flows_held (world->agent), ==, 1);
+}
+
 /* Guards against new flows at a server that has said that it leaves, also when every endpoint of
  * the service does, and against clients that are kept waiting then. */
 static void
@@ -472,6 +491,7 @@
   g_test_add_func ("/return/returned-late", test_returned_late);
   g_test_add_func ("/return/lost", test_lost);
   g_test_add_func ("/return/server-replaced", test_server_replaced);
+  g_test_add_func ("/return/server-replaced-repeated", test_server_replaced_repeated);
   g_test_add_func ("/return/server-replaced-early", test_server_replaced_early);
   g_test_add_func ("/return/leaving", test_leaving);
   g_test_add_func ("/return/no-config", test_no_config);
--- a/waxwinghitch/cmd-explain.c
+++ b/waxwinghitch/cmd-explain.c
@@ -11,6 +11,10 @@
 /* Longer lines are not ours. */
 #define LINE_MAX_BYTES 8192
 
+/* Time after a request in which a change of its backend server may explain its failure: a crashed
+ * one counts as absent after three announcements that did not come. */
+#define SERVER_CHANGE_MS 10000
+
 typedef struct
 {
   const gchar *id;
@@ -32,6 +36,7 @@
   const gchar *id;
   GHashTable *flows; /* set of the flows that the id belongs to */
   GPtrArray *steps;
+  GHashTable *served; /* node to the Step of the last request that its server was given */
   guint lines;
   guint skipped;
 } Search;
@@ -47,6 +52,8 @@
   { "flow_absent", "silent: the endpoints that were asked do not hold it" },
   { "flow_recovered", "continued: an endpoint found it at its backend server" },
   { "flow_unknown", "silent: no endpoint is known to hold it" },
+  { "server_changed", "given to a backend server that was lost or replaced afterwards" },
+  { "started", "given to a backend server whose agent was restarted afterwards" },
 };
 
 static void
@@ -115,32 +122,84 @@
   return line;
 }
 
+/* The id is that of a request, or the address of a client: no server has read the id of a request
+ * that was refused. */
 static void
 note_flow (Search *search, const WcNode *line)
 {
   const gchar *flow = text_of (line, "flow");
   const gchar *request = text_of (line, "request");
+  gsize length = strlen (search->id);
 
-  if (flow != NULL && request != NULL && strcmp (request, search->id) == 0)
+  if (flow == NULL)
+    return;
+  if ((request != NULL && strcmp (request, search->id) == 0) ||
+      (strncmp (flow, search->id, length) == 0 && flow[length] == ':'))
     g_hash_table_add (search->flows, g_strdup (flow));
 }
 
-static void
-note_step (Search *search, const WcNode *line)
+static gint64
+time_of (const WcNode *line)
 {
   const WcNode *time = wc_node_find (line, "time_ms");
-  const gchar *flow = text_of (line, "flow");
-  Step *step;
 
-  if (flow == NULL || !g_hash_table_contains (search->flows, flow))
-    return;
-  step = g_new0 (Step, 1);
-  step->time_ms = time != NULL && time->kind == WC_NODE_INTEGER ? time->number : 0;
+  return time != NULL && time->kind == WC_NODE_INTEGER ? time->number : 0;
+}
+
+/* The set also holds the id itself. */
+static gboolean
+has_several (const Search *search)
+{
+  return g_hash_table_size (search->flows) > 2;
+}
+
+static Step *
+add_step (Search *search, const WcNode *line)
+{
+  Step *step = g_new0 (Step, 1);
+
+  step->time_ms = time_of (line);
   step->order = search->steps->len;
   step->node = g_strdup (text_of (line, "node"));
   step->event = g_strdup (text_of (line, "event"));
   step->details = format_details (line);
   g_ptr_array_add (search->steps, step);
+  return step;
+}
+
+static void
+note_step (Search *search, const WcNode *line)
+{
+  const gchar *flow = text_of (line, "flow");
+  Step *step;
+
+  if (flow == NULL || !g_hash_table_contains (search->flows, flow))
+    return;
+  step = add_step (search, line);
+  if (has_several (search))
+    {
+      g_autofree gchar *details = g_steal_pointer (&step->details);
+
+      step->details = g_strconcat (" flow=", flow, details, NULL);
+    }
+  if (strcmp (step->event, "request") == 0)
+    g_hash_table_replace (search->served, step->node, step);
+}
+
+/* What became of the server, or of its agent, after it was given the request. */
+static void
+note_server (Search *search, const WcNode *line)
+{
+  const gchar *event = text_of (line, "event");
+  const Step *request = g_hash_table_lookup (search->served, text_of (line, "node"));
+  gint64 time_ms = time_of (line);
+
+  if (request == NULL || time_ms <= request->time_ms ||
+      time_ms > request->time_ms + SERVER_CHANGE_MS ||
+      (strcmp (event, "server_changed") != 0 && strcmp (event, "started") != 0))
+    return;
+  add_step (search, line);
+  g_hash_table_remove (search->served, text_of (line, "node"));
 }
 
 typedef void (*LineFunc) (Search *search, const WcNode *line);
@@ -222,7 +281,9 @@
       g_print ("%8" G_GINT64_FORMAT " ms  %-18s %s%s\n", step->time_ms - first->time_ms, step->node,
                step->event, step->details);
     }
-  g_print ("%s\n", find_verdict (search));
+  g_print ("%s\n", has_several (search)
+                       ? "several flows: explain one of them, as \"client:port>service:port\""
+                       : find_verdict (search));
 }
 
 static error_t
@@ -246,7 +307,9 @@
 {
   /* The id may be the flow itself, as "client:port>service:port". */
   g_hash_table_add (search->flows, g_strdup (search->id));
-  if (!read_files (search, files, note_flow, TRUE) || !read_files (search, files, note_step, FALSE))
+  if (!read_files (search, files, note_flow, TRUE) ||
+      !read_files (search, files, note_step, FALSE) ||
+      (!has_several (search) && !read_files (search, files, note_server, FALSE)))
     return CMD_EXIT_INVALID;
   if (search->skipped > 0)
     g_printerr ("%u of %u lines skipped: not written by waxwinghitch\n", search->skipped,
@@ -267,13 +330,15 @@
   const struct argp argp = {
     .parser = parse_option,
     .args_doc = "ID FILE...",
-    .doc = "Shows from the logs of several processes what each did with one request or flow.",
+    .doc = "Shows from the logs of several processes what each did with a request, a flow or the "
+           "flows of a client's address.",
   };
   g_autoptr (GPtrArray) files = g_ptr_array_new ();
   g_autoptr (GHashTable) flows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_autoptr (GPtrArray) steps = g_ptr_array_new_with_free_func (step_free);
   Arguments arguments = { .files = files };
-  Search search = { .flows = flows, .steps = steps };
+  g_autoptr (GHashTable) served = g_hash_table_new (g_str_hash, g_str_equal);
+  Search search = { .flows = flows, .steps = steps, .served = served };
 
   argp_err_exit_status = CMD_EXIT_USAGE;
   if (argp_parse (&argp, argc, argv, 0, NULL, &arguments) != 0)
