--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -8,9 +8,10 @@
 #define RESERVE_SHARE 32
 
 /* A payload that has not come after the mean and 4 mean deviations, the retransmission timeout of
- * RFC 6298, was lost, or its client has gone: after an outage that is every tenth client. */
-#define PAYLOAD_SAMPLES_MIN 16
+ * RFC 6298, was lost, or its client has gone, as many have after an outage. Reservations are full
+ * until enough payloads were measured. */
 #define PAYLOAD_DEVIATIONS 4
+#define PAYLOAD_SAMPLES_MIN 16
 
 /* Entries queued for each slot before one is opened ahead, and the part of a slot's time that the
  * wait for the payload has to take. */
--- a/member/wm-join.c
+++ b/member/wm-join.c
@@ -25,8 +25,8 @@
 #define MEMBERS_PER_SYNC 128
 /* The list that a node starts with is that of one member, which may have started a moment before.
  * It is compared often at first, with another member each time, so that a fleet which starts at
- * once knows all its members after a few comparisons; then the interval doubles up to the usual
- * one. */
+ * once knows all its members within the 1.4 s after which a client gives up; then the interval
+ * doubles up to the usual one. */
 #define SYNC_FIRST_INTERVAL_US (50 * WB_US_PER_MS)
 #define SYNC_FIRST_ROUNDS 16
 #define SYNC_MAX_SHIFT 7
