Read and write network byte order in one place

They are inline functions in wire/ww-bytes.h now. No behaviour changes; the tests of packets, differences and messages are as they were.

--- a/member/wm-delta.c
+++ b/member/wm-delta.c
@@ -1,5 +1,7 @@
 #include "wm-private.h"
 
+#include "ww-bytes.h"
+
 #include <string.h>
 
 /*
@@ -13,18 +15,10 @@
 static void
 append_number (GByteArray *out, gsize value)
 {
-  guint32 number = GUINT32_TO_BE ((guint32) value);
-
-  g_byte_array_append (out, (const guint8 *) &number, sizeof number);
-}
-
-static gsize
-read_number (const guint8 *data)
-{
-  guint32 number;
+  guint8 number[sizeof (guint32)];
 
-  memcpy (&number, data, sizeof number);
-  return GUINT32_FROM_BE (number);
+  ww_write_u32 (number, (guint32) value);
+  g_byte_array_append (out, number, sizeof number);
 }
 
 static GHashTable *
@@ -119,9 +113,9 @@
 
   while (length >= RECORD_BYTES)
     {
-      gsize offset = read_number (data);
-      gsize copied = read_number (data + 4);
-      gsize literal = read_number (data + 8);
+      gsize offset = ww_read_u32 (data);
+      gsize copied = ww_read_u32 (data + 4);
+      gsize literal = ww_read_u32 (data + 8);
 
       data += RECORD_BYTES;
       length -= RECORD_BYTES;
--- a/soak/sk-packet.c
+++ b/soak/sk-packet.c
@@ -1,8 +1,8 @@
 #include "sk.h"
 
 #include "wb.h"
+#include "ww-bytes.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 /* Key of the sum, which the system does not know. */
@@ -22,45 +22,13 @@
   AT_LEN = 32,
 };
 
-static void
-put32 (guint8 *at, guint32 value)
-{
-  value = htonl (value);
-  memcpy (at, &value, sizeof value);
-}
-
-static guint32
-get32 (const guint8 *at)
-{
-  guint32 value;
-
-  memcpy (&value, at, sizeof value);
-  return ntohl (value);
-}
-
-static void
-put16 (guint8 *at, guint16 value)
-{
-  value = htons (value);
-  memcpy (at, &value, sizeof value);
-}
-
-static guint16
-get16 (const guint8 *at)
-{
-  guint16 value;
-
-  memcpy (&value, at, sizeof value);
-  return ntohs (value);
-}
-
 /* Over everything but the fields that a server may set when it returns a packet. */
 static guint32
 sum_of (const guint8 *bytes, gsize length)
 {
   g_autofree guint8 *copy = g_memdup2 (bytes, length);
 
-  put32 (copy + AT_SUM, 0);
+  ww_write_u32 (copy + AT_SUM, 0);
   copy[AT_FLAGS] &= (guint8) ~SK_BOUNCED;
   memset (copy + AT_FLAGS + 1, 0, AT_LEN - AT_FLAGS - 1);
   return (guint32) wb_hash64 (copy, length, SUM_KEY);
@@ -72,34 +40,34 @@
   gsize length = SK_HEAD + packet->length;
 
   memset (bytes, 0, SK_HEAD);
-  put16 (bytes + AT_DPORT, packet->destination_port);
-  put16 (bytes + AT_SPORT, packet->source_port);
-  put32 (bytes + AT_DST, packet->destination);
-  put32 (bytes + AT_SRC, packet->source);
-  put32 (bytes + AT_SEQ, packet->sequence);
-  put32 (bytes + AT_ACK, packet->acknowledgment);
+  ww_write_u16 (bytes + AT_DPORT, packet->destination_port);
+  ww_write_u16 (bytes + AT_SPORT, packet->source_port);
+  ww_write_u32 (bytes + AT_DST, packet->destination);
+  ww_write_u32 (bytes + AT_SRC, packet->source);
+  ww_write_u32 (bytes + AT_SEQ, packet->sequence);
+  ww_write_u32 (bytes + AT_ACK, packet->acknowledgment);
   bytes[AT_FLAGS] = packet->flags;
-  put16 (bytes + AT_LEN, (guint16) packet->length);
+  ww_write_u16 (bytes + AT_LEN, (guint16) packet->length);
   if (packet->length > 0)
     memcpy (bytes + SK_HEAD, packet->text, packet->length);
-  put32 (bytes + AT_SUM, sum_of (bytes, length));
+  ww_write_u32 (bytes + AT_SUM, sum_of (bytes, length));
   return length;
 }
 
 gboolean
 sk_packet_read (const guint8 *bytes, gsize length, SkPacket *packet)
 {
-  if (length < SK_HEAD || get16 (bytes + AT_LEN) != length - SK_HEAD)
+  if (length < SK_HEAD || ww_read_u16 (bytes + AT_LEN) != length - SK_HEAD)
     return FALSE;
-  packet->destination_port = get16 (bytes + AT_DPORT);
-  packet->source_port = get16 (bytes + AT_SPORT);
-  packet->destination = get32 (bytes + AT_DST);
-  packet->source = get32 (bytes + AT_SRC);
-  packet->sequence = get32 (bytes + AT_SEQ);
-  packet->acknowledgment = get32 (bytes + AT_ACK);
+  packet->destination_port = ww_read_u16 (bytes + AT_DPORT);
+  packet->source_port = ww_read_u16 (bytes + AT_SPORT);
+  packet->destination = ww_read_u32 (bytes + AT_DST);
+  packet->source = ww_read_u32 (bytes + AT_SRC);
+  packet->sequence = ww_read_u32 (bytes + AT_SEQ);
+  packet->acknowledgment = ww_read_u32 (bytes + AT_ACK);
   packet->flags = bytes[AT_FLAGS];
   packet->text = (const gchar *) bytes + SK_HEAD;
   packet->length = length - SK_HEAD;
-  packet->intact = get32 (bytes + AT_SUM) == sum_of (bytes, length);
+  packet->intact = ww_read_u32 (bytes + AT_SUM) == sum_of (bytes, length);
   return TRUE;
 }
--- a/wire/ww-message.c
+++ b/wire/ww-message.c
@@ -1,5 +1,7 @@
 #include "ww-message.h"
 
+#include "ww-bytes.h"
+
 #include <rpc/rpc.h>
 #include <string.h>
 
@@ -72,7 +74,7 @@
 {
   if (length < 4)
     return 0;
-  return ((guint32) data[0] << 24) | ((guint32) data[1] << 16) | ((guint32) data[2] << 8) | data[3];
+  return ww_read_u32 (data);
 }
 
 gboolean
--- a/wire/ww-packet.c
+++ b/wire/ww-packet.c
@@ -1,5 +1,7 @@
 #include "ww-packet.h"
 
+#include "ww-bytes.h"
+
 #include <string.h>
 
 #define IPV4_HEADER_MIN 20
@@ -8,32 +10,6 @@
 #define ICMP_HEADER 8
 #define DEFAULT_TTL 64
 
-static guint16
-read_u16 (const guint8 *data)
-{
-  return (guint16) ((data[0] << 8) | data[1]);
-}
-
-static guint32
-read_u32 (const guint8 *data)
-{
-  return ((guint32) read_u16 (data) << 16) | read_u16 (data + 2);
-}
-
-static void
-write_u16 (guint8 *data, guint16 value)
-{
-  data[0] = (guint8) (value >> 8);
-  data[1] = (guint8) value;
-}
-
-static void
-write_u32 (guint8 *data, guint32 value)
-{
-  write_u16 (data, (guint16) (value >> 16));
-  write_u16 (data + 2, (guint16) value);
-}
-
 static WwPacketStatus
 parse_tcp (const guint8 *data, gsize length, WwPacket *packet)
 {
@@ -44,12 +20,12 @@
   header = (gsize) (data[12] >> 4) * 4;
   if (header < TCP_HEADER_MIN || header > length)
     return WW_PACKET_MALFORMED;
-  packet->source_port = read_u16 (data);
-  packet->destination_port = read_u16 (data + 2);
-  packet->sequence = read_u32 (data + 4);
-  packet->acknowledgment = read_u32 (data + 8);
+  packet->source_port = ww_read_u16 (data);
+  packet->destination_port = ww_read_u16 (data + 2);
+  packet->sequence = ww_read_u32 (data + 4);
+  packet->acknowledgment = ww_read_u32 (data + 8);
   packet->tcp_flags = data[13] & 0x3f;
-  packet->window = read_u16 (data + 14);
+  packet->window = ww_read_u16 (data + 14);
   packet->payload = data + header;
   packet->payload_length = length - header;
   return WW_PACKET_OK;
@@ -62,11 +38,11 @@
 
   if (length < UDP_HEADER)
     return WW_PACKET_MALFORMED;
-  total = read_u16 (data + 4);
+  total = ww_read_u16 (data + 4);
   if (total < UDP_HEADER || total > length)
     return WW_PACKET_MALFORMED;
-  packet->source_port = read_u16 (data);
-  packet->destination_port = read_u16 (data + 2);
+  packet->source_port = ww_read_u16 (data);
+  packet->destination_port = ww_read_u16 (data + 2);
   packet->payload = data + UDP_HEADER;
   packet->payload_length = total - UDP_HEADER;
   return WW_PACKET_OK;
@@ -91,10 +67,10 @@
   packet->protocol = quoted[9];
   if (packet->protocol != WW_PROTOCOL_TCP && packet->protocol != WW_PROTOCOL_UDP)
     return WW_PACKET_UNSUPPORTED;
-  packet->destination_address = read_u32 (quoted + 12);
-  packet->source_address = read_u32 (quoted + 16);
-  packet->destination_port = read_u16 (quoted + header);
-  packet->source_port = read_u16 (quoted + header + 2);
+  packet->destination_address = ww_read_u32 (quoted + 12);
+  packet->source_address = ww_read_u32 (quoted + 16);
+  packet->destination_port = ww_read_u16 (quoted + header);
+  packet->source_port = ww_read_u16 (quoted + header + 2);
   return WW_PACKET_ICMP_ERROR;
 }
 
@@ -108,14 +84,14 @@
   if (length < IPV4_HEADER_MIN || data[0] >> 4 != 4)
     return WW_PACKET_MALFORMED;
   header = (gsize) (data[0] & 0x0f) * 4;
-  total = read_u16 (data + 2);
+  total = ww_read_u16 (data + 2);
   if (header < IPV4_HEADER_MIN || total < header || total > length)
     return WW_PACKET_MALFORMED;
-  if ((read_u16 (data + 6) & 0x3fff) != 0)
+  if ((ww_read_u16 (data + 6) & 0x3fff) != 0)
     return WW_PACKET_FRAGMENT;
   packet->protocol = data[9];
-  packet->source_address = read_u32 (data + 12);
-  packet->destination_address = read_u32 (data + 16);
+  packet->source_address = ww_read_u32 (data + 12);
+  packet->destination_address = ww_read_u32 (data + 16);
   switch (packet->protocol)
     {
     case WW_PROTOCOL_TCP:
@@ -203,7 +179,7 @@
   gsize i;
 
   for (i = 0; i + 1 < length; i += 2)
-    sum += read_u16 (data + i);
+    sum += ww_read_u16 (data + i);
   if (length % 2 != 0)
     sum += (guint32) data[length - 1] << 8;
   return sum;
@@ -222,11 +198,11 @@
 {
   guint8 pseudo[12];
 
-  write_u32 (pseudo, packet->source_address);
-  write_u32 (pseudo + 4, packet->destination_address);
+  ww_write_u32 (pseudo, packet->source_address);
+  ww_write_u32 (pseudo + 4, packet->destination_address);
   pseudo[8] = 0;
   pseudo[9] = (guint8) packet->protocol;
-  write_u16 (pseudo + 10, (guint16) length);
+  ww_write_u16 (pseudo + 10, (guint16) length);
   return fold_checksum (sum_words (segment, length, sum_words (pseudo, sizeof pseudo, 0)));
 }
 
@@ -240,13 +216,13 @@
   memset (bytes->data, 0, bytes->len);
   ip = bytes->data;
   ip[0] = 0x45;
-  write_u16 (ip + 2, (guint16) bytes->len);
-  write_u16 (ip + 6, 0x4000);
+  ww_write_u16 (ip + 2, (guint16) bytes->len);
+  ww_write_u16 (ip + 6, 0x4000);
   ip[8] = DEFAULT_TTL;
   ip[9] = (guint8) packet->protocol;
-  write_u32 (ip + 12, packet->source_address);
-  write_u32 (ip + 16, packet->destination_address);
-  write_u16 (ip + 10, fold_checksum (sum_words (ip, IPV4_HEADER_MIN, 0)));
+  ww_write_u32 (ip + 12, packet->source_address);
+  ww_write_u32 (ip + 16, packet->destination_address);
+  ww_write_u16 (ip + 10, fold_checksum (sum_words (ip, IPV4_HEADER_MIN, 0)));
   return bytes;
 }
 
@@ -257,16 +233,16 @@
   GByteArray *bytes = build_ipv4 (packet, length);
   guint8 *tcp = bytes->data + IPV4_HEADER_MIN;
 
-  write_u16 (tcp, packet->source_port);
-  write_u16 (tcp + 2, packet->destination_port);
-  write_u32 (tcp + 4, packet->sequence);
-  write_u32 (tcp + 8, packet->acknowledgment);
+  ww_write_u16 (tcp, packet->source_port);
+  ww_write_u16 (tcp + 2, packet->destination_port);
+  ww_write_u32 (tcp + 4, packet->sequence);
+  ww_write_u32 (tcp + 8, packet->acknowledgment);
   tcp[12] = (TCP_HEADER_MIN / 4) << 4;
   tcp[13] = packet->tcp_flags;
-  write_u16 (tcp + 14, packet->window);
+  ww_write_u16 (tcp + 14, packet->window);
   if (packet->payload_length > 0)
     memcpy (tcp + TCP_HEADER_MIN, packet->payload, packet->payload_length);
-  write_u16 (tcp + 16, transport_checksum (packet, tcp, length));
+  ww_write_u16 (tcp + 16, transport_checksum (packet, tcp, length));
   return bytes;
 }
 
@@ -278,12 +254,12 @@
   guint8 *udp = bytes->data + IPV4_HEADER_MIN;
   guint16 checksum;
 
-  write_u16 (udp, packet->source_port);
-  write_u16 (udp + 2, packet->destination_port);
-  write_u16 (udp + 4, (guint16) length);
+  ww_write_u16 (udp, packet->source_port);
+  ww_write_u16 (udp + 2, packet->destination_port);
+  ww_write_u16 (udp + 4, (guint16) length);
   if (packet->payload_length > 0)
     memcpy (udp + UDP_HEADER, packet->payload, packet->payload_length);
   checksum = transport_checksum (packet, udp, length);
-  write_u16 (udp + 6, checksum == 0 ? 0xffff : checksum);
+  ww_write_u16 (udp + 6, checksum == 0 ? 0xffff : checksum);
   return bytes;
 }
