--- a/admission/wa-evidence.c
+++ b/admission/wa-evidence.c
@@ -44,11 +44,11 @@
 }
 
 static void
-count_unanswered (WaAdmission *admission, gint64 retry_us)
+count_unanswered (WaAdmission *admission, gint64 until_us)
 {
   if (++admission->unanswered < UNANSWERED_LIMIT)
     return;
-  admission->not_answering_until_us = MAX (admission->not_answering_until_us, retry_us);
+  admission->not_answering_until_us = MAX (admission->not_answering_until_us, until_us);
   admission->unanswered = UNANSWERED_LIMIT - 1;
   wb_counters_add (admission->counters, WA_COUNTER_NOT_ANSWERING, 1);
 }
--- a/admission/wa-slots.c
+++ b/admission/wa-slots.c
@@ -17,10 +17,11 @@
  * wait for the payload has to take. */
 #define AHEAD_SHORT 1
 #define AHEAD_REST 2
+#define AHEAD_SHARE 50
+
 /* A server that announces its slots queues what comes above them: one request there is served next,
  * while the packet of another is on its way. */
 #define AHEAD_ANNOUNCED_MIN 2
-#define AHEAD_SHARE 50
 
 WaLevel
 wa_level (WcClass class)
--- a/base/wb-histogram.c
+++ b/base/wb-histogram.c
@@ -68,12 +68,6 @@
   return histogram->count;
 }
 
-gdouble
-wb_histogram_mean (const WbHistogram *histogram)
-{
-  return histogram->count == 0 ? 0.0 : histogram->sum / (gdouble) histogram->count;
-}
-
 gint64
 wb_histogram_max (const WbHistogram *histogram)
 {
--- a/base/wb-histogram.h
+++ b/base/wb-histogram.h
@@ -17,7 +17,6 @@
 void wb_histogram_record (WbHistogram *histogram, gint64 value);
 
 guint64 wb_histogram_count (const WbHistogram *histogram);
-gdouble wb_histogram_mean (const WbHistogram *histogram);
 gint64 wb_histogram_max (const WbHistogram *histogram);
 
 /**
--- a/flow/wf-agent.c
+++ b/flow/wf-agent.c
@@ -605,16 +605,16 @@
   return TRUE;
 }
 
-/* Reads the oldest queued packet. Return: FALSE when there is none. */
+/* Reads a queued packet; the oldest is number 0. Return: FALSE when there is none. */
 gboolean
-wf_flow_first_queued (const WfAgent *agent, const WfFlow *flow, WwPacket *packet)
+wf_flow_read_queued (const WfAgent *agent, const WfFlow *flow, guint number, WwPacket *packet)
 {
   const guint8 *data;
   gsize length;
 
-  if (flow->queue == NULL || flow->queue->len == 0)
+  if (flow->queue == NULL || number >= flow->queue->len)
     return FALSE;
-  data = g_bytes_get_data (g_ptr_array_index (flow->queue, 0), &length);
+  data = g_bytes_get_data (g_ptr_array_index (flow->queue, number), &length);
   return agent->format->parse (data, length, packet) == WW_PACKET_OK;
 }
 
--- a/flow/wf-hold.c
+++ b/flow/wf-hold.c
@@ -131,7 +131,7 @@
   else
     verdict =
         wa_admission_open (agent->admission, handle, (WcClass) flow->class, flow->tenant,
-                           wf_flow_first_queued (agent, flow, &initial) ? initial.waited_us : 0,
+                           wf_flow_read_queued (agent, flow, 0, &initial) ? initial.waited_us : 0,
                            &retry_after_s, agent->now_us);
   flow = wf_table_get (agent->flows, handle);
   if (flow == NULL || flow->state != WF_FLOW_WAITING)
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -218,7 +218,8 @@
 void wf_flow_set_state (WfAgent *agent, WfFlow *flow, WfFlowState state);
 void wf_flow_remove (WfAgent *agent, WbHandle handle);
 gboolean wf_flow_queue (WfAgent *agent, WfFlow *flow, const guint8 *data, gsize length);
-gboolean wf_flow_first_queued (const WfAgent *agent, const WfFlow *flow, WwPacket *packet);
+gboolean
+wf_flow_read_queued (const WfAgent *agent, const WfFlow *flow, guint number, WwPacket *packet);
 void wf_flow_clear_queue (WfAgent *agent, WfFlow *flow);
 void wf_flow_classify (WfAgent *agent, WfFlow *flow);
 void wf_deliver (WfAgent *agent, const guint8 *data, gsize length);
--- a/flow/wf-refuse.c
+++ b/flow/wf-refuse.c
@@ -125,10 +125,8 @@
   for (i = 0; flow->queue != NULL && i < flow->queue->len; i++)
     {
       WwPacket packet;
-      gsize length;
-      const guint8 *data = g_bytes_get_data (g_ptr_array_index (flow->queue, i), &length);
 
-      if (agent->format->parse (data, length, &packet) != WW_PACKET_OK)
+      if (!wf_flow_read_queued (agent, flow, i, &packet))
         continue;
       if (wf_seq_diff (packet.sequence, end) > 0)
         continue;
@@ -245,7 +243,7 @@
                       WB_NUMBER ("held", agent->held), WB_NUMBER ("waiting", agent->waiting),
                       WB_TEXT ("server", wf_server_state_name (agent->server)));
   wf_count (agent, WF_COUNTER_R3_REFUSED_INITIAL);
-  if (!wf_flow_first_queued (agent, flow, &packet))
+  if (!wf_flow_read_queued (agent, flow, 0, &packet))
     {
       wf_flow_remove (agent, handle);
       return;
--- a/member/wm-join.c
+++ b/member/wm-join.c
@@ -133,9 +133,8 @@
 static gint64
 sync_interval (const WmJoin *join)
 {
-  guint shift = join->sync_rounds < SYNC_FIRST_ROUNDS
-                    ? 0
-                    : MIN (join->sync_rounds - SYNC_FIRST_ROUNDS, SYNC_MAX_SHIFT);
+  guint later_rounds = MAX (join->sync_rounds, SYNC_FIRST_ROUNDS) - SYNC_FIRST_ROUNDS;
+  guint shift = MIN (later_rounds, SYNC_MAX_SHIFT);
 
   return MIN (SYNC_FIRST_INTERVAL_US << shift, SYNC_INTERVAL_US);
 }
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -23,6 +23,19 @@
     }
 }
 
+/* Starts the nodes from @first on, at the same time. */
+static void
+start_from (MnNet *net, guint first, guint control_limit)
+{
+  guint i;
+
+  for (i = first; i < net->count; i++)
+    {
+      net->nodes[i].settings.control_limit = control_limit;
+      mn_start (net, i);
+    }
+}
+
 /* Guards against islands when a whole fleet starts at once: each contact is then itself a node that
  * knows nobody, and a node that joined through one of them has to find the others. */
 static void
@@ -36,11 +49,7 @@
       guint i;
 
       net->jitter_us = 2 * WB_US_PER_MS;
-      for (i = 0; i < net->count; i++)
-        {
-          net->nodes[i].settings.control_limit = control_limit;
-          mn_start (net, i);
-        }
+      start_from (net, 0, control_limit);
       mn_run (net, limit_us);
       for (i = 0; i < net->count; i++)
         g_assert_cmpuint (wm_node_count (net->nodes[i].core, WW_MEMBER_ALIVE), ==, net->count);
@@ -73,11 +82,7 @@
   g_autoptr (MnNet) net = mn_net_new (20, 3, 7, 3, 1);
   guint i;
 
-  for (i = 1; i < net->count; i++)
-    {
-      net->nodes[i].settings.control_limit = 8192;
-      mn_start (net, i);
-    }
+  start_from (net, 1, 8192);
   mn_run (net, WB_US_PER_S);
   for (i = 1; i < net->count; i++)
     g_assert_true (wm_node_knows_members (net->nodes[i].core));
--- a/waxwinghitch-agent/agt-metrics.c
+++ b/waxwinghitch-agent/agt-metrics.c
@@ -17,11 +17,12 @@
       {
         const WcTenant *entry = g_ptr_array_index (config->tenants, tenant);
         const WbHistogram *times = find (admission, (WcClass) class, tenant);
-        g_autofree gchar *tenant_name = g_strescape (entry->name, NULL);
+        g_autofree gchar *tenant_name = NULL;
         g_autofree gchar *labels = NULL;
 
         if (times == NULL || wb_histogram_count (times) == 0)
           continue;
+        tenant_name = g_strescape (entry->name, NULL);
         labels = g_strdup_printf ("service=\"%s\",class=\"%s\",tenant=\"%s\"", service,
                                   wc_class_name ((WcClass) class), tenant_name);
         wb_histogram_append_text (times, name, labels, text);
--- a/waxwinghitch/cmd-explain.c
+++ b/waxwinghitch/cmd-explain.c
@@ -309,7 +309,8 @@
   g_hash_table_add (search->flows, g_strdup (search->id));
   if (!read_files (search, files, note_flow, TRUE) ||
       !read_files (search, files, note_step, FALSE) ||
-      (!has_several (search) && !read_files (search, files, note_server, FALSE)))
+      (!has_several (search) && g_hash_table_size (search->served) > 0 &&
+       !read_files (search, files, note_server, FALSE)))
     return CMD_EXIT_INVALID;
   if (search->skipped > 0)
     g_printerr ("%u of %u lines skipped: not written by waxwinghitch\n", search->skipped,
