Log each failed call of the platform, and what a node knows when it gets ready

Nothing in the logs could tell the hypotheses of the open incident apart: a watch that timed out or was refused left no line, and neither did a read or write of the object for starting processes. A late configuration could be seen only by the time of config_changed.

The watcher reports each failed call to its daemon, which logs platform_call_failed with the call, the error, how long it took, the delay to the next one, the position and the version in effect. A position of the store's earlier history shows as a watch that fails with its position, calls on silent connections as time-outs one after the other. ready has the version in effect, the pending one and the newest one that the platform has shown, for a process that starts with an older one. The error of a part that cannot be fetched is kept instead of a flag. No decision changes.

--- a/daemon/wd-node.c
+++ b/daemon/wd-node.c
@@ -198,7 +198,11 @@
       !(node->config != NULL && wm_node_members_complete (node->member)))
     return;
   node->ready = TRUE;
-  wb_log_info ("ready", WB_NUMBER ("members", wm_node_count (node->member, WW_MEMBER_ALIVE)));
+  wb_log_info (
+      "ready", WB_NUMBER ("members", wm_node_count (node->member, WW_MEMBER_ALIVE)),
+      WB_NUMBER ("config", node->config != NULL ? node->config->version : 0),
+      WB_NUMBER ("pending", node->pending_config != NULL ? node->pending_config->version : 0),
+      WB_NUMBER ("platform_version", node->platform_version));
   if (node->pending_config != NULL)
     put_pending_config_into_effect (node);
   if (node->watcher != NULL)
@@ -323,6 +327,19 @@
   wb_log_error ("config_invalid", WB_NUMBER ("version", 0), WB_TEXT ("error", error->message));
 }
 
+static void
+platform_call_failed (gpointer context, const WsCallFailure *failure)
+{
+  WdNode *node = context;
+
+  wb_log_info ("platform_call_failed", WB_TEXT ("call", failure->call),
+               WB_TEXT ("error", failure->error->message),
+               WB_NUMBER ("waited_ms", failure->duration_us / WB_US_PER_MS),
+               WB_NUMBER ("retry_ms", failure->retry_us / WB_US_PER_MS),
+               WB_NUMBER ("position", failure->position),
+               WB_NUMBER ("config", node->config != NULL ? node->config->version : 0));
+}
+
 static void
 platform_read_finished (gpointer context, gboolean reached)
 {
@@ -569,7 +586,8 @@
                                    .start = platform_start_read,
                                    .read_finished = platform_read_finished,
                                    .invalid = platform_config_invalid,
-                                   .era_changed = platform_era_changed };
+                                   .era_changed = platform_era_changed,
+                                   .call_failed = platform_call_failed };
   WsStore store;
 
   if (settings->platform_url == NULL)
--- a/store/ws-watch.c
+++ b/store/ws-watch.c
@@ -30,7 +30,10 @@
   guint64 era;                /* of the store's content, as of the last response */
   gboolean call_outstanding;  /* a read, a watch or the fetch of parts */
   gboolean watch_outstanding; /* the outstanding call is a watch */
-  guint retry_timer;          /* back-off after a failure; 0 when it is not running */
+  const gchar *call;          /* name of the outstanding call, for the log */
+  guint64 call_position;      /* that it names, or 0 */
+  gint64 call_sent_us;
+  guint retry_timer; /* back-off after a failure; 0 when it is not running */
   const WcConfigFormat *format;
   guint watch_timeout_ms;
   guint64 root_object_version; /* object version of the root read last; 0 reads it again */
@@ -41,13 +44,14 @@
   WcRoot *parsed_root;
   GPtrArray *missing_parts;
   guint next_part;
-  GHashTable *fetches; /* set of Fetch */
-  gboolean fetch_failed;
+  GHashTable *fetches;         /* set of Fetch */
+  GError *fetch_error;         /* of the first part that could not be fetched */
   GBytes *new_start;           /* object being compared or written; NULL for none */
   WsStoredFunc start_finished; /* called when new_start is stored or has failed */
   gpointer start_context;
   GBytes *stored_start;         /* what this watcher wrote or read last; NULL for none */
   guint64 stored_start_version; /* object version of stored_start */
+  gint64 start_sent_us;         /* of the last call for new_start */
 };
 
 typedef struct
@@ -94,7 +98,7 @@
   g_clear_pointer (&watcher->missing_parts, g_ptr_array_unref);
   g_clear_pointer (&watcher->parsed_root, wc_root_free);
   watcher->next_part = 0;
-  watcher->fetch_failed = FALSE;
+  g_clear_error (&watcher->fetch_error);
 }
 
 void
@@ -137,10 +141,48 @@
 }
 
 static void
-schedule_retry (WsWatcher *watcher)
+begin_call (WsWatcher *watcher, const gchar *call, guint64 position)
+{
+  watcher->call = call;
+  watcher->call_position = position;
+  watcher->call_sent_us = g_get_monotonic_time ();
+}
+
+static void
+report_failure (WsWatcher *watcher, const WsCallFailure *failure)
+{
+  if (watcher->callbacks.call_failed != NULL)
+    watcher->callbacks.call_failed (watcher->callbacks.context, failure);
+}
+
+static void
+report_call_failure (WsWatcher *watcher, const GError *error, gint64 retry_us)
+{
+  WsCallFailure failure = { .call = watcher->call,
+                            .error = error,
+                            .position = watcher->call_position,
+                            .duration_us = g_get_monotonic_time () - watcher->call_sent_us,
+                            .retry_us = retry_us };
+
+  report_failure (watcher, &failure);
+}
+
+static void
+report_start_failure (WsWatcher *watcher, const gchar *call, const GError *error)
+{
+  WsCallFailure failure = { .call = call,
+                            .error = error,
+                            .duration_us = g_get_monotonic_time () - watcher->start_sent_us };
+
+  report_failure (watcher, &failure);
+}
+
+static void
+schedule_retry (WsWatcher *watcher, const GError *error)
 {
   gint64 delay_us = ws_backoff_next_us (&watcher->backoff);
 
+  report_call_failure (watcher, error, delay_us);
   watcher->call_outstanding = FALSE;
   watcher->confirming = FALSE;
   if (watcher->retry_timer == 0)
@@ -216,23 +258,33 @@
 static void
 fetches_finished (WsWatcher *watcher)
 {
-  gboolean failed = watcher->fetch_failed;
+  g_autoptr (GError) error = g_steal_pointer (&watcher->fetch_error);
 
   /* ws_watcher_set_known_config() may have set a newer version during the fetch. */
-  if (!failed && is_reported (watcher))
+  if (error == NULL && is_reported (watcher))
     report_config (watcher);
   clear_fetched_root (watcher);
-  if (!failed)
+  if (error == NULL)
     {
       root_processed (watcher);
       return;
     }
   watcher->root_object_version = watcher->resume_position = 0;
-  schedule_retry (watcher);
+  schedule_retry (watcher, error);
 }
 
 static void continue_fetches (WsWatcher *watcher);
 
+static void
+keep_fetch_error (WsWatcher *watcher, const GError *error)
+{
+  if (watcher->fetch_error != NULL)
+    return;
+  watcher->fetch_error = error != NULL ? g_error_copy (error)
+                                       : g_error_new_literal (WS_ERROR, WS_ERROR_BAD_RESPONSE,
+                                                              "part does not match its hash");
+}
+
 static void
 part_fetched (gpointer context, const WsObject *object, const GError *error)
 {
@@ -244,7 +296,7 @@
     g_hash_table_insert (watcher->known_parts, g_steal_pointer (&actual),
                          g_bytes_ref (object->value));
   else
-    watcher->fetch_failed = TRUE;
+    keep_fetch_error (watcher, error);
   g_hash_table_remove (watcher->fetches, fetch);
   continue_fetches (watcher);
 }
@@ -252,7 +304,8 @@
 static void
 continue_fetches (WsWatcher *watcher)
 {
-  while (!watcher->fetch_failed && g_hash_table_size (watcher->fetches) < MAX_CONCURRENT_FETCHES &&
+  while (watcher->fetch_error == NULL &&
+         g_hash_table_size (watcher->fetches) < MAX_CONCURRENT_FETCHES &&
          watcher->next_part < watcher->missing_parts->len)
     {
       const gchar *hash = g_ptr_array_index (watcher->missing_parts, watcher->next_part++);
@@ -285,6 +338,7 @@
       root_processed (watcher);
       return;
     }
+  begin_call (watcher, "parts", 0);
   watcher->root = g_bytes_ref (root);
   watcher->missing_parts = wc_root_missing_parts (watcher->parsed_root, watcher->known_parts);
   continue_fetches (watcher);
@@ -302,13 +356,13 @@
     watcher->resume_position = 0;
   if (error != NULL && error->code != WS_ERROR_NOT_FOUND)
     {
-      schedule_retry (watcher);
+      schedule_retry (watcher, error);
       return;
     }
   /* A store may end a watch of a missing object at once; back off instead of looping. */
   if (error != NULL && was_watch && !watcher->read_requested)
     {
-      schedule_retry (watcher);
+      schedule_retry (watcher, error);
       return;
     }
   if (object != NULL)
@@ -326,6 +380,7 @@
 read_root (WsWatcher *watcher)
 {
   g_clear_pointer (&watcher->start_root, g_bytes_unref);
+  begin_call (watcher, "read", 0);
   watcher->store.get (watcher->store.context, WS_KEY_ROOT, root_received, watcher);
 }
 
@@ -339,7 +394,7 @@
   check_era (watcher);
   root = g_steal_pointer (&watcher->start_root);
   if (error != NULL && error->code == WS_ERROR_UNREACHABLE)
-    schedule_retry (watcher);
+    schedule_retry (watcher, error);
   else if (error != NULL || root == NULL)
     read_root (watcher);
   else if (object != NULL && object->version != 0)
@@ -359,6 +414,7 @@
 
   watcher->check_timer = 0;
   watcher->confirming = TRUE;
+  begin_call (watcher, "check", watcher->start_position);
   watcher->store.watch (watcher->store.context, WS_KEY_ROOT, watcher->start_position,
                         CHECK_TIMEOUT_MS, start_checked, watcher);
   return G_SOURCE_REMOVE;
@@ -385,7 +441,7 @@
   check_era (watcher);
   if (error != NULL && error->code != WS_ERROR_NOT_FOUND)
     {
-      schedule_retry (watcher);
+      schedule_retry (watcher, error);
       return;
     }
   if (object != NULL && ws_start_decode (object->value, &start))
@@ -407,12 +463,14 @@
   if (watcher->read_requested)
     {
       watcher->call_outstanding = TRUE;
+      begin_call (watcher, "read start", 0);
       watcher->store.get (watcher->store.context, WS_KEY_START, start_received, watcher);
     }
   else if (watcher->active)
     {
       watcher->call_outstanding = TRUE;
       watcher->watch_outstanding = TRUE;
+      begin_call (watcher, "watch", watcher->resume_position);
       watcher->store.watch (watcher->store.context, WS_KEY_ROOT, watcher->resume_position,
                             watcher->watch_timeout_ms, root_received, watcher);
     }
@@ -482,8 +540,20 @@
 static void
 start_written (gpointer context, const WsObject *object, const GError *error)
 {
-  check_era (context);
-  finish_start (context, object != NULL ? object->version : 0);
+  WsWatcher *watcher = context;
+
+  check_era (watcher);
+  if (error != NULL)
+    report_start_failure (watcher, "write start", error);
+  finish_start (watcher, object != NULL ? object->version : 0);
+}
+
+static void
+write_start (WsWatcher *watcher, guint64 if_version)
+{
+  watcher->start_sent_us = g_get_monotonic_time ();
+  watcher->store.put (watcher->store.context, WS_KEY_START, watcher->new_start, if_version,
+                      start_written, watcher);
 }
 
 static gboolean
@@ -504,12 +574,14 @@
 
   check_era (watcher);
   if (object == NULL && !absent)
-    finish_start (watcher, 0);
+    {
+      report_start_failure (watcher, "read start", error);
+      finish_start (watcher, 0);
+    }
   else if (object != NULL && has_same_content (object->value, watcher->new_start))
     finish_start (watcher, object->version);
   else
-    watcher->store.put (watcher->store.context, WS_KEY_START, watcher->new_start,
-                        object != NULL ? object->version : 0, start_written, watcher);
+    write_start (watcher, object != NULL ? object->version : 0);
 }
 
 /* A watcher that knows what is stored refreshes it without reading first. The copy of the root is
@@ -535,8 +607,10 @@
   watcher->start_context = context;
   if (refresh && watcher->stored_start != NULL &&
       !g_bytes_equal (watcher->stored_start, watcher->new_start))
-    watcher->store.put (watcher->store.context, WS_KEY_START, watcher->new_start,
-                        watcher->stored_start_version, start_written, watcher);
+    write_start (watcher, watcher->stored_start_version);
   else
-    watcher->store.get (watcher->store.context, WS_KEY_START, stored_start_received, watcher);
+    {
+      watcher->start_sent_us = g_get_monotonic_time ();
+      watcher->store.get (watcher->store.context, WS_KEY_START, stored_start_received, watcher);
+    }
 }
--- a/store/ws-watch.h
+++ b/store/ws-watch.h
@@ -8,6 +8,23 @@
  * callbacks. It fetches only the parts of a configuration that are not known yet.
  */
 
+/**
+ * struct WsCallFailure - a call of a watcher that failed
+ * @call: "read", "check", "watch", "parts", "read start" or "write start"
+ * @error: (transfer none): WS_ERROR
+ * @position: resume position that the call named, or 0
+ * @duration_us: time from the call to its failure, in microseconds
+ * @retry_us: delay before the next attempt, in microseconds; 0 when it is not repeated by itself
+ */
+typedef struct
+{
+  const gchar *call;
+  const GError *error;
+  guint64 position;
+  gint64 duration_us;
+  gint64 retry_us;
+} WsCallFailure;
+
 /**
  * struct WsWatcherCallbacks - output of a watcher
  * @config: a newer configuration was read with all its parts; it has not been validated. A version
@@ -21,6 +38,7 @@
  * @invalid: (optional): the root object was read and cannot be parsed
  * @era_changed: (optional): the store has returned from an older copy of its content; what was
  *   written there may be lost
+ * @call_failed: (optional): a call has failed, for the log
  *
  * Callbacks must not free the watcher.
  */
@@ -32,6 +50,7 @@
   void (*read_finished) (gpointer context, gboolean reached);
   void (*invalid) (gpointer context, const GError *error);
   void (*era_changed) (gpointer context, guint64 previous, guint64 era);
+  void (*call_failed) (gpointer context, const WsCallFailure *failure);
 } WsWatcherCallbacks;
 
 /** WsStoredFunc - called with the outcome of a write */
