Check in the soak that configurations are in effect in time, also when store connections become silent

Callers saw, in the users' words: handled by an older version, though a newer one was acknowledged more than 3 s before. The soak could not see it: it checked answers, runs, drains and resets, but no request went to a route that had just been added or dropped.

Every 100 ms the soak sends, directly to each balancer that is in touch, an initial packet to the last route that must exist, to a route of the same service that always exists, and to the first route that must not exist, as the platform does. A reset of the first alone, or a SYN-ACK to the last, is a violation.

No program changes.

--- a/soak/sk-client.c
+++ b/soak/sk-client.c
@@ -40,6 +40,16 @@
 static guint started_count, completed_count;
 static guint64 request_total;
 
+void
+sk_client_send_to_balancer (guint balancer, const SkPacket *packet)
+{
+  guint8 bytes[SK_HEADER_BYTES + 64];
+  gsize length = sk_packet_write (packet, bytes);
+
+  ww_socket_send (client_socket, SK_BALANCER_ADDRESS + balancer, sk_port_number (SK_PORT_NETWORK),
+                  bytes, length);
+}
+
 /* Sends a packet as the routers do: to a random balancer of those that were ready at their last
  * probe, or of all if none was. */
 static void
@@ -59,8 +69,6 @@
                       .acknowledgment = acknowledgment,
                       .payload = text,
                       .payload_length = text != NULL ? strlen (text) : 0 };
-  guint8 bytes[SK_HEADER_BYTES + 64];
-  gsize length = sk_packet_write (&packet, bytes);
   guint choices[SK_BALANCER_COUNT];
   guint count = 0, i;
 
@@ -69,8 +77,7 @@
       choices[count++] = i;
   i = count > 0 ? choices[g_random_int_range (0, (gint32) count)]
                 : (guint) g_random_int_range (0, SK_BALANCER_COUNT);
-  ww_socket_send (client_socket, SK_BALANCER_ADDRESS + i, sk_port_number (SK_PORT_NETWORK), bytes,
-                  length);
+  sk_client_send_to_balancer (i, &packet);
 }
 
 static void
@@ -139,7 +146,7 @@
   SkPacket packet;
   Request *request;
 
-  if (!sk_packet_read (data, length, &packet))
+  if (!sk_packet_read (data, length, &packet) || sk_probe_packet (address, &packet))
     return;
   request = g_hash_table_lookup (requests_by_port, GUINT_TO_POINTER (packet.destination_port));
   if (request == NULL)
--- a/soak/sk-store.c
+++ b/soak/sk-store.c
@@ -6,6 +6,9 @@
 /* Object store of the platform, as far as the programs use it: lists, watches and conditional
  * writes. */
 
+/* Data of a connection's socket: 1 more than silence_count at its first request. */
+#define SILENCE_COUNT_KEY "silence-count"
+
 #define STATUS_GONE 410
 #define STATUS_UNAVAILABLE 503
 
@@ -23,7 +26,8 @@
   gchar *kind; /* NULL: never gets a response */
   guint64 position;
   gint64 deadline_us;
-  guint64 era; /* when the request was received */
+  guint64 era;     /* when the request was received */
+  gboolean silent; /* its connection never gets a response any more */
 } PendingRequest;
 
 /* Content of the store at an earlier time. */
@@ -47,6 +51,7 @@
 static Copy copies[2]; /* the latest one, and the one before */
 static gint64 next_copy_us;
 static SkStoreFault fault;
+static guint silence_count; /* times that the open connections have become silent */
 static guint pending_timer;
 
 static void
@@ -259,7 +264,8 @@
     {
       PendingRequest *entry = g_ptr_array_index (pending, i);
 
-      if (fault != SK_STORE_FAULT_NONE || entry->kind == NULL || !try_respond (entry, now_us))
+      if (fault != SK_STORE_FAULT_NONE || entry->kind == NULL || entry->silent ||
+          !try_respond (entry, now_us))
         {
           i++;
           continue;
@@ -366,6 +372,35 @@
                       (wait_ms != NULL ? g_ascii_strtoll (wait_ms, NULL, 10) : 0) * WB_US_PER_MS);
 }
 
+/* Whether the connection had carried a request when the open connections became silent. */
+static gboolean
+is_silent (SoupServerMessage *message)
+{
+  GObject *connection = G_OBJECT (soup_server_message_get_socket (message));
+  guint opened = GPOINTER_TO_UINT (g_object_get_data (connection, SILENCE_COUNT_KEY));
+
+  if (opened == 0)
+    {
+      opened = silence_count + 1;
+      g_object_set_data (connection, SILENCE_COUNT_KEY, GUINT_TO_POINTER (opened));
+    }
+  return opened <= silence_count;
+}
+
+void
+sk_store_silence_connections (void)
+{
+  guint i;
+
+  silence_count++;
+  for (i = 0; i < pending->len; i++)
+    {
+      PendingRequest *entry = g_ptr_array_index (pending, i);
+
+      entry->silent = TRUE;
+    }
+}
+
 static void
 request_received (SoupServer *soup,
                   SoupServerMessage *message,
@@ -373,6 +408,11 @@
                   GHashTable *query,
                   gpointer data)
 {
+  if (is_silent (message))
+    {
+      hold_request (message, NULL, 0, 0);
+      return;
+    }
   switch (fault)
     {
     case SK_STORE_FAULT_UNAVAILABLE:
--- a/soak/sk.h
+++ b/soak/sk.h
@@ -60,6 +60,12 @@
  */
 gboolean sk_host_is_stable (guint32 address);
 
+/**
+ * sk_balancer_is_in_touch() - whether a balancer has run, and the store has worked, for the users'
+ * stability window, so that the bound of configurations holds for it
+ */
+gboolean sk_balancer_is_in_touch (guint balancer, gint64 now_us);
+
 /** sk_report_violation() - prints and counts a broken guarantee; the run continues */
 void sk_report_violation (const gchar *format, ...) G_GNUC_PRINTF (1, 2);
 
@@ -127,6 +133,10 @@
 void sk_store_close (void);
 void sk_store_set_fault (SkStoreFault new_fault);
 
+/** sk_store_silence_connections() - lets all connections that are open become silent: requests on
+ * them get no response. New connections work. */
+void sk_store_silence_connections (void);
+
 /** sk_store_compact() - discards the history: watches from earlier positions get status 410 */
 void sk_store_compact (void);
 
@@ -165,6 +175,9 @@
 void sk_client_tick (gint64 now_us);
 void sk_client_set_balancer_ready (guint balancer, gboolean ready);
 
+/** sk_client_send_to_balancer() - sends a packet to one balancer, without a router */
+void sk_client_send_to_balancer (guint balancer, const SkPacket *packet);
+
 /** sk_client_take_counts() - requests started and completed since the last call */
 void sk_client_take_counts (guint *started, guint *completed);
 
@@ -176,3 +189,22 @@
  * ran before, was refused, or belongs to another service
  */
 void sk_client_check_run (guint16 client_port, guint number, guint service);
+
+/* sk-probe.c: flows that test whether a configuration is in effect in time */
+void sk_probe_open (void);
+void sk_probe_close (void);
+void sk_probe_tick (gint64 now_us);
+
+/** sk_probe_config_written() - called when the store has acknowledged a configuration */
+void sk_probe_config_written (guint64 version, guint route_count);
+
+/**
+ * sk_probe_packet() - handles a packet to a client
+ * @address: of its sender
+ *
+ * Return: FALSE if it does not belong to a probe
+ */
+gboolean sk_probe_packet (guint32 address, const SkPacket *packet);
+
+/** sk_probe_total() - probes sent since the begin of the run */
+guint64 sk_probe_total (void);
--- a/soak/soak-main.c
+++ b/soak/soak-main.c
@@ -29,6 +29,13 @@
 /* 180 KB. */
 #define LARGE_ROUTE_COUNT 1100
 #define RETURN_SEED_OFFSET 100000
+#define SILENCE_SEED_OFFSET 200000
+/* Longer than a configuration takes to all watchers. */
+#define SILENCE_DELAY_US (100 * WB_US_PER_MS)
+/* No other fault follows a silence for this time: a process that starts reads the store and passes
+ * on what it has, which would hide that the others have not noticed. */
+#define SILENCE_CALM_US (7 * WB_US_PER_S)
+#define SILENCES_IN_SERIES 3
 
 typedef struct
 {
@@ -37,6 +44,7 @@
   GSubprocess *process;     /* NULL while none runs */
   gint64 paused_until_us;   /* 0: not paused */
   gint64 restart_us;        /* 0: no restart is due */
+  gint64 started_us;        /* of the process that runs */
   gint64 last_fault_end_us; /* of the last unplanned fault */
   gchar *settings_file;
 } Host;
@@ -92,6 +100,11 @@
 static GRand *return_generator; /* separate, so that the schedule of the other faults is the same */
 static gint64 next_return_us, return_us, rewrite_us;
 static guint return_count;
+static gboolean connections_fall_silent; /* those to the store, all at the same moment */
+static GRand *silence_generator;
+static gint64 next_silence_us, silence_us, silence_change_us, last_silence_us;
+static gint64 last_store_fault_us; /* last moment at which the store was seen to misbehave */
+static guint silence_count;
 static gboolean measuring;
 
 guint16
@@ -182,6 +195,7 @@
       launcher, open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
   host->restart_us = 0;
   host->paused_until_us = 0;
+  host->started_us = g_get_monotonic_time ();
   host->process =
       g_subprocess_launcher_spawnv (launcher, (const gchar *const *) arguments->pdata, &error);
   if (host->process == NULL)
@@ -227,6 +241,17 @@
   return TRUE;
 }
 
+gboolean
+sk_balancer_is_in_touch (guint balancer, gint64 now_us)
+{
+  const Host *host = &hosts[balancer];
+  gint64 disturbed_us = MAX (host->started_us, host->last_fault_end_us);
+
+  disturbed_us = MAX (disturbed_us, MAX (last_silence_us, last_store_fault_us));
+  return host->process != NULL && host->restart_us == 0 && host->paused_until_us == 0 &&
+         now_us - disturbed_us > STABILITY_WINDOW_US;
+}
+
 static Host *
 random_host (void)
 {
@@ -269,7 +294,22 @@
   route_count = (guint) g_rand_int_range (random_generator, 4, 60);
   if (store_returns && g_rand_int_range (return_generator, 0, 4) == 0)
     route_count = LARGE_ROUTE_COUNT;
-  sk_store_set_config (route_count);
+  sk_probe_config_written (sk_store_set_config (route_count), route_count);
+}
+
+static void
+start_store_fault (void)
+{
+  /* Silence is tested with a store that works otherwise: the bound of configurations does not hold
+   * while it does not. */
+  if (connections_fall_silent)
+    {
+      change_config ();
+      return;
+    }
+  sk_store_set_fault ((SkStoreFault) g_rand_int_range (random_generator, SK_STORE_FAULT_UNAVAILABLE,
+                                                       SK_STORE_FAULT_LOST_WRITE_RESPONSE + 1));
+  store_fault_end_us = g_get_monotonic_time () + random_duration_us (500, 4000);
 }
 
 static void
@@ -304,9 +344,7 @@
         g_subprocess_send_signal (host->process, SIGHUP);
       break;
     case FAULT_STORE:
-      sk_store_set_fault ((SkStoreFault) g_rand_int_range (
-          random_generator, SK_STORE_FAULT_UNAVAILABLE, SK_STORE_FAULT_LOST_WRITE_RESPONSE + 1));
-      store_fault_end_us = g_get_monotonic_time () + random_duration_us (500, 4000);
+      start_store_fault ();
       break;
     case FAULT_STORE_COMPACTION:
       sk_store_compact ();
@@ -358,6 +396,47 @@
     }
 }
 
+/* All connections to the store become silent at the same moment, some times in a row. A change
+ * right before lets all watches begin together, as late as possible; one within a second after is
+ * what they miss. */
+static void
+silence_store (gint64 now_us)
+{
+  if (!connections_fall_silent)
+    return;
+  if (now_us >= next_silence_us && now_us < faults_end_us)
+    {
+      next_silence_us =
+          now_us + SILENCE_CALM_US + g_rand_int_range (silence_generator, 2, 6) * WB_US_PER_S;
+      silence_us = now_us + SILENCE_DELAY_US;
+      next_fault_us = now_us + SILENCE_CALM_US;
+      change_config ();
+    }
+  if (silence_us != 0 && now_us >= silence_us)
+    {
+      silence_us = 0;
+      silence_change_us = now_us + g_rand_int_range (silence_generator, 0, 1000) * WB_US_PER_MS;
+      last_silence_us = now_us;
+      sk_store_silence_connections ();
+      if (verbose)
+        g_print ("%.3f s: connections to the store become silent\n",
+                 (gdouble) (now_us - soak_start_us) / WB_US_PER_S);
+    }
+  if (silence_change_us != 0 && now_us >= silence_change_us)
+    {
+      silence_change_us = 0;
+      change_config ();
+    }
+}
+
+/* The bound of configurations holds again some time after the last fault of the store. */
+static void
+note_store_faults (gint64 now_us)
+{
+  if (store_fault_end_us != 0 || return_us != 0 || rewrite_us != 0)
+    last_store_fault_us = now_us;
+}
+
 /* Ends the faults whose time is over, or all of them, so that none lasts into the recovery. */
 static void
 end_faults (gint64 now_us, gboolean end_all)
@@ -428,7 +507,10 @@
   detect_stall (now_us);
   sk_server_tick (now_us);
   sk_client_tick (now_us);
+  sk_probe_tick (now_us);
   return_store (now_us);
+  silence_store (now_us);
+  note_store_faults (now_us);
   end_faults (now_us, now_us >= faults_end_us);
   if (now_us >= next_fault_us && now_us < faults_end_us)
     {
@@ -481,14 +563,16 @@
   run_directory = g_dir_make_tmp ("soak-XXXXXX", NULL);
   random_generator = g_rand_new_with_seed (seed);
   return_generator = g_rand_new_with_seed (seed + RETURN_SEED_OFFSET);
+  silence_generator = g_rand_new_with_seed (seed + SILENCE_SEED_OFFSET);
   session = soup_session_new_with_options ("timeout", 1, "proxy-resolver", NULL, NULL);
   loop = g_main_loop_new (NULL, FALSE);
   soak_start_us = g_get_monotonic_time ();
   next_fault_us = soak_start_us + STARTUP_US;
-  next_return_us = next_fault_us + 2 * WB_US_PER_S;
+  next_return_us = next_silence_us = next_fault_us + 2 * WB_US_PER_S;
   faults_end_us = recovery_start_us = next_fault_us + fault_seconds * WB_US_PER_S;
   sk_store_open ();
-  sk_store_set_config (route_count);
+  sk_probe_open ();
+  sk_probe_config_written (sk_store_set_config (route_count), route_count);
   sk_client_open ();
   for (i = 0; i < SK_SERVER_COUNT; i++)
     sk_server_start (i);
@@ -519,6 +603,7 @@
   for (i = 0; i < SK_SERVER_COUNT; i++)
     sk_server_close (i);
   sk_client_close ();
+  sk_probe_close ();
   sk_store_close ();
 }
 
@@ -537,6 +622,8 @@
     verbose = TRUE;
   else if (key == 'r')
     store_returns = TRUE;
+  else if (key == 'c')
+    connections_fall_silent = TRUE;
   else
     return ARGP_ERR_UNKNOWN;
   return 0;
@@ -552,6 +639,8 @@
     { "binaries", 'b', "DIR", 0, "Directory of the programs under test", 0 },
     { "store-returns", 'r', NULL, 0,
       "The store also returns from older copies, and configurations are large", 0 },
+    { "silent-connections", 'c', NULL, 0,
+      "Connections to the store become silent, in place of its other faults", 0 },
     { "verbose", 'v', NULL, 0, "Prints each fault as it is injected", 0 },
     { 0 }
   };
@@ -565,13 +654,16 @@
   start_soak ();
   g_main_loop_run (loop);
   stop_soak ();
-  g_print ("seed %u: %" G_GUINT64_FORMAT " requests, %u violations; faults injected:", seed,
-           sk_client_request_total (), violation_count);
+  g_print ("seed %u: %" G_GUINT64_FORMAT " requests, %" G_GUINT64_FORMAT
+           " probes, %u violations; faults injected:",
+           seed, sk_client_request_total (), sk_probe_total (), violation_count);
   for (i = 0; i < N_FAULTS; i++)
     if (fault_counts[i] > 0)
       g_print (" %s %u", fault_names[i], fault_counts[i]);
   if (return_count > 0)
     g_print (" store returns %u", return_count);
+  if (silence_count > 0)
+    g_print (" silent connections %u", silence_count);
   g_print ("; machine stalled %u times; logs in %s\n", stall_count, run_directory);
   return violation_count == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
