Close idle store connections when a call has timed out

What callers saw. After all connections to the store had become silent, a route that had been added was refused, or one that had been dropped was served, for seconds after the bound.

The client keeps idle connections for later calls. A call that timed out on a silent connection was followed by one on an idle connection, silent like the first, and each costs its whole time-out: for a watch 3 to 4 s. A node with two idle connections needed 7 s and more to notice a change.

A time-out replaces the HTTP session, which closes its idle connections, so that the next call opens one of its own. Calls under way keep the session that they were sent with; a watch that still works goes on.

--- a/store/ws-client.c
+++ b/store/ws-client.c
@@ -69,6 +69,24 @@
   gpointer context;
 } Call;
 
+static SoupSession *
+session_new (void)
+{
+  /* No proxy resolver: the default one reads desktop settings, which a host may not have. */
+  return soup_session_new_with_options ("max-conns-per-host", MAX_CONNECTIONS, "max-conns",
+                                        MAX_CONNECTIONS, "timeout", 0, "proxy-resolver", NULL,
+                                        NULL);
+}
+
+/* Closes the idle connections: when one is silent, the others may be too. Calls that are under way
+ * hold the session that they were sent with. */
+static void
+close_idle_connections (WsClient *client)
+{
+  g_object_unref (client->session);
+  client->session = session_new ();
+}
+
 WsClient *
 ws_client_new (const gchar *base_url, const WsCodec *codec, GError **error)
 {
@@ -85,10 +103,7 @@
     }
   client = g_new0 (WsClient, 1);
   client->codec = codec;
-  /* No proxy resolver: the default one reads desktop settings, which a host may not have. */
-  client->session =
-      soup_session_new_with_options ("max-conns-per-host", MAX_CONNECTIONS, "max-conns",
-                                     MAX_CONNECTIONS, "timeout", 0, "proxy-resolver", NULL, NULL);
+  client->session = session_new ();
   client->base_url = g_strdup (base_url);
   if (g_str_has_suffix (base_url, "/"))
     client->base_url[strlen (base_url) - 1] = '\0';
@@ -351,6 +366,7 @@
         MIN (call->client->timeout_ms * 2, call->client->initial_timeout_ms * MAX_TIMEOUT_FACTOR);
   else
     call->client->watch_grace_ms = MIN (call->client->watch_grace_ms * 2, MAX_WATCH_GRACE_MS);
+  close_idle_connections (call->client);
   g_cancellable_cancel (call->cancellable);
   return G_SOURCE_REMOVE;
 }
--- a/tests/test-silent.c
+++ b/tests/test-silent.c
@@ -216,17 +216,21 @@
   g_main_loop_unref (fixture->loop);
 }
 
+static void
+silence_connection (Fixture *fixture, guint index)
+{
+  Connection *connection = g_ptr_array_index (fixture->connections, index);
+
+  connection->silent = TRUE;
+}
+
 static void
 silence_connections (Fixture *fixture)
 {
   guint i;
 
   for (i = 0; i < fixture->connections->len; i++)
-    {
-      Connection *connection = g_ptr_array_index (fixture->connections, i);
-
-      connection->silent = TRUE;
-    }
+    silence_connection (fixture, i);
 }
 
 /* Guards against CONFIG: after the watch has timed out on a silent connection, the next call is
@@ -253,10 +257,52 @@
   fixture_clear (&fixture);
 }
 
+/* The outstanding watches report the next version. */
+static void
+change_config (Fixture *fixture)
+{
+  guint i;
+
+  fixture->version += 3;
+  for (i = 0; i < fixture->connections->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (fixture->connections, i);
+
+      if (connection->watching && !connection->silent)
+        respond_list (connection, EVENTS_BEGIN);
+      connection->watching = FALSE;
+    }
+}
+
+/* Guards against a watch that is lost when the idle connections are closed because another call has
+ * timed out. */
+static void
+test_outstanding_watch (void)
+{
+  Fixture fixture;
+
+  fixture_init (&fixture);
+  ws_watcher_set_timeout (fixture.watcher, 10 * CALL_TIMEOUT_MS);
+  ws_watcher_set_active (fixture.watcher, TRUE);
+  g_main_loop_run (fixture.loop);
+  ws_client_get (fixture.client, WS_KEY_START, on_response, &fixture);
+  g_main_loop_run (fixture.loop);
+  silence_connection (&fixture, 1);
+  ws_client_get (fixture.client, WS_KEY_START, on_response, &fixture);
+  g_main_loop_run (fixture.loop);
+  g_assert_cmpuint (fixture.late_requests, ==, 1);
+  change_config (&fixture);
+  g_main_loop_run (fixture.loop);
+  g_assert_cmpuint (fixture.reported_version, ==, 8);
+  g_assert_cmpuint (fixture.calls_failed, ==, 0);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/silent/idle-connections", test_idle_connections);
+  g_test_add_func ("/silent/outstanding-watch", test_outstanding_watch);
   return g_test_run ();
 }
