Let the call after a failed one not wait for a change

What callers saw. After an outage of the store, or after its connections had become silent, a change that was acknowledged meanwhile could stay without effect for the whole wait of another watch, 2 s and the grace, on top of the first.

A watcher whose call had failed went on with an ordinary watch from the position that it had. When the store has returned from an older copy and has given out that revision again in the meantime, such a watch finds nothing and waits; the era in its response is seen only at its end. When the new connection is silent too, it waits for the longer time-out of a watch.

After a failure the first watch asks without waiting, like the check of the copy for starting processes: it tells at once whether the position still means something and whether there is a newer version, and is followed by an ordinary watch. It costs one call for each failure.

--- a/store/ws-watch.c
+++ b/store/ws-watch.c
@@ -12,8 +12,8 @@
 #define MAX_RETRY_DELAY_US (1 * WB_US_PER_S)
 /* Limits the load: the platform sustains about 2,000 reads a second for the whole fleet. */
 #define MAX_CONCURRENT_FETCHES 4
-/* Wait of the watch that tells whether the configuration has changed: none, but for the time that
- * the store takes to look. */
+/* Wait of a watch that tells whether the configuration has changed: none, but for the time that the
+ * store takes to look. */
 #define CHECK_TIMEOUT_MS 1
 
 struct WsWatcher
@@ -30,6 +30,7 @@
   guint64 era;                /* of the store's content, as of the last response */
   gboolean call_outstanding;  /* a read, a watch or the fetch of parts */
   gboolean watch_outstanding; /* the outstanding call is a watch */
+  gboolean call_has_failed;   /* the last one, so that the next watch does not wait */
   const gchar *call;          /* name of the outstanding call, for the log */
   guint64 call_position;      /* that it names, or 0 */
   gint64 call_sent_us;
@@ -183,6 +184,7 @@
   gint64 delay_us = ws_backoff_next_us (&watcher->backoff);
 
   report_call_failure (watcher, error, delay_us);
+  watcher->call_has_failed = TRUE;
   watcher->call_outstanding = FALSE;
   watcher->confirming = FALSE;
   if (watcher->retry_timer == 0)
@@ -195,6 +197,7 @@
 root_processed (WsWatcher *watcher)
 {
   ws_backoff_reset (&watcher->backoff);
+  watcher->call_has_failed = FALSE;
   watcher->call_outstanding = FALSE;
   watcher->confirming = FALSE;
   finish_read (watcher, TRUE);
@@ -455,6 +458,20 @@
     check_start (watcher);
 }
 
+/* After a failure the position may be of content that the store has lost, and new connections may
+ * be silent as well. A watch that does not wait tells at once. */
+static void
+start_watch (WsWatcher *watcher)
+{
+  gboolean check = watcher->call_has_failed;
+
+  watcher->watch_outstanding = TRUE;
+  begin_call (watcher, check ? "check" : "watch", watcher->resume_position);
+  watcher->store.watch (watcher->store.context, WS_KEY_ROOT, watcher->resume_position,
+                        check ? CHECK_TIMEOUT_MS : watcher->watch_timeout_ms, root_received,
+                        watcher);
+}
+
 static void
 start_next_call (WsWatcher *watcher)
 {
@@ -469,10 +486,7 @@
   else if (watcher->active)
     {
       watcher->call_outstanding = TRUE;
-      watcher->watch_outstanding = TRUE;
-      begin_call (watcher, "watch", watcher->resume_position);
-      watcher->store.watch (watcher->store.context, WS_KEY_ROOT, watcher->resume_position,
-                            watcher->watch_timeout_ms, root_received, watcher);
+      start_watch (watcher);
     }
 }
 
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -15,6 +15,7 @@
   guint failing_reads;      /* number of next reads that fail */
   guint part_reads;
   guint writes;
+  guint watch_timeout_ms; /* of the last watch */
   WsWatcher *watcher;
   GMainLoop *loop;
   guint64 version; /* of the last configuration that the watcher reported */
@@ -24,6 +25,7 @@
   guint lists_stored;
   guint era_changes;
   guint reads_finished;
+  guint calls_failed;
   gboolean platform_reached;
 } Fixture;
 
@@ -173,6 +175,7 @@
 
   call->is_watch = TRUE;
   call->version = position;
+  ((Fixture *) fixture)->watch_timeout_ms = timeout_ms;
 }
 
 static void
@@ -219,6 +222,14 @@
   fixture->era_changes++;
 }
 
+static void
+on_call_failed (gpointer context, const WsCallFailure *failure)
+{
+  Fixture *fixture = context;
+
+  fixture->calls_failed++;
+}
+
 static void
 on_stored (gpointer context, gboolean stored)
 {
@@ -247,7 +258,8 @@
                                    .config = on_config,
                                    .start = on_start,
                                    .era_changed = on_era_changed,
-                                   .read_finished = on_read_finished };
+                                   .read_finished = on_read_finished,
+                                   .call_failed = on_call_failed };
 
   memset (fixture, 0, sizeof *fixture);
   fixture->objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
@@ -347,6 +359,34 @@
   fixture_clear (&fixture);
 }
 
+/* Guards against CONFIG: after a failure, the next call must not wait for a change. The position
+ * may be of content that the store has lost, or the connection silent, and a whole watch would pass
+ * before that is noticed. */
+static void
+test_call_after_failure (void)
+{
+  Fixture fixture;
+
+  fixture_init (&fixture);
+  store_config (&fixture, SERVICE);
+  ws_watcher_set_timeout (fixture.watcher, 2000);
+  ws_watcher_set_active (fixture.watcher, TRUE);
+  g_main_loop_run (fixture.loop);
+  g_assert_cmpuint (fixture.watch_timeout_ms, ==, 2000);
+  fixture.failing_reads = 1;
+  while (fixture.failing_reads > 0)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (fixture.calls_failed, ==, 1);
+  while (fixture.pending_calls->len == 0)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (fixture.watch_timeout_ms, <=, 1);
+  store_config (&fixture, SERVICE "slots = 5\n");
+  g_main_loop_run (fixture.loop);
+  g_assert_cmpuint (fixture.version, ==, 2);
+  g_assert_cmpuint (fixture.watch_timeout_ms, ==, 2000);
+  fixture_clear (&fixture);
+}
+
 /* Guards against a reported version that is not newer than the one that the node has from another
  * member, and against a fetch of parts that the node has. */
 static void
@@ -434,6 +474,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/watch/read", test_read);
   g_test_add_func ("/watch/watch", test_watch);
+  g_test_add_func ("/watch/call-after-failure", test_call_after_failure);
   g_test_add_func ("/watch/known", test_known_config);
   g_test_add_func ("/watch/contacts", test_contacts);
   g_test_add_func ("/watch/contacts-replaced", test_contacts_replaced);
