Notice a silent watch half a second after its wait, whatever was silent before

What callers saw. With all store connections silent, a change that was acknowledged right after came into effect 3.1 to 4.15 s after the silence in the soak. Machines count as in touch again after 4 s, and a configuration has to be in effect after 3 s: routes that had been added were refused.

A watch that got no response failed 1 s after its wait of 2 s. A time-out of a watch doubled that second, and only a watch that ended without a change took it back, so that the next silence cost 4 s. The time was for a slow store, but a silent connection does not tell that the store is slow.

A watch may take its wait and the time-out of an ordinary call, 0.5 s while the store is quick. That time-out follows what the store takes: a time-out doubles it, and the next response, which the check after the failure gets at once, sets it again. A watch that a change has ended gives an upper limit.

--- a/store/ws-client.c
+++ b/store/ws-client.c
@@ -8,11 +8,6 @@
 #define MAX_TIMEOUT_FACTOR 4
 /* A call may take this many times as long as the last one that got a response. */
 #define TIMEOUT_LATENCY_FACTOR 2
-/* A connection may stay silent for ever while new ones work. A watch is cancelled when this time
- * has passed after the platform should have ended it; the time is longer for a slow platform. */
-#define MIN_WATCH_GRACE_MS 1000
-#define MAX_WATCH_GRACE_MS 2000
-#define WATCH_GRACE_LATENCY_FACTOR 4
 /* More than one, so that a pending watch does not delay other calls. */
 #define MAX_CONNECTIONS 8
 
@@ -46,8 +41,7 @@
   const WsCodec *codec;
   gchar *base_url;
   guint initial_timeout_ms;
-  guint timeout_ms; /* in use; longer after calls that timed out */
-  guint watch_grace_ms;
+  guint timeout_ms;  /* in use; longer after calls that timed out */
   guint64 era;       /* newest one that a response has named */
   GHashTable *calls; /* set of Call */
   WbCounters *counters;
@@ -108,7 +102,6 @@
   if (g_str_has_suffix (base_url, "/"))
     client->base_url[strlen (base_url) - 1] = '\0';
   client->initial_timeout_ms = client->timeout_ms = DEFAULT_TIMEOUT_MS;
-  client->watch_grace_ms = MIN_WATCH_GRACE_MS;
   client->calls = g_hash_table_new (NULL, NULL);
   client->counters = wb_counters_new (counter_definitions, N_COUNTERS);
   return client;
@@ -228,29 +221,22 @@
   callback (context, object, error);
 }
 
-static void
-update_watch_grace (const Call *call)
-{
-  gint64 latency_ms = (g_get_monotonic_time () - call->watch_end_us) / WB_US_PER_MS;
-
-  if (call->kind == WS_CALL_WATCH)
-    call->client->watch_grace_ms = (guint) CLAMP (latency_ms * WATCH_GRACE_LATENCY_FACTOR,
-                                                  MIN_WATCH_GRACE_MS, MAX_WATCH_GRACE_MS);
-}
-
 /* While the store is slow the time-out stays above what it takes. If each response reset it, a read
- * of several objects would never end: every other call would time out. */
+ * of several objects would never end: every other call would time out. A watch that a change has
+ * ended tells only the most that the store can have taken. */
 static void
 update_timeout (const Call *call)
 {
   WsClient *client = call->client;
-  gint64 latency_ms = (g_get_monotonic_time () - call->sent_us) / WB_US_PER_MS;
+  gint64 now_us = g_get_monotonic_time ();
+  gboolean ended_early = call->kind == WS_CALL_WATCH && now_us < call->watch_end_us;
+  gint64 begin_us =
+      call->kind == WS_CALL_WATCH && !ended_early ? call->watch_end_us : call->sent_us;
+  gint64 wanted_ms = (now_us - begin_us) * TIMEOUT_LATENCY_FACTOR / WB_US_PER_MS;
   gint64 shortest_ms = client->initial_timeout_ms;
-  gint64 longest_ms = shortest_ms * MAX_TIMEOUT_FACTOR;
+  gint64 longest_ms = ended_early ? client->timeout_ms : shortest_ms * MAX_TIMEOUT_FACTOR;
 
-  if (call->kind != WS_CALL_WATCH)
-    client->timeout_ms =
-        (guint) CLAMP (latency_ms * TIMEOUT_LATENCY_FACTOR, shortest_ms, longest_ms);
+  client->timeout_ms = (guint) CLAMP (wanted_ms, shortest_ms, longest_ms);
 }
 
 guint64
@@ -337,7 +323,6 @@
                  "platform: response to a read without content");
   else if (status == SOUP_STATUS_NO_CONTENT)
     {
-      update_watch_grace (call);
       call_finish (call, NULL, NULL);
       return;
     }
@@ -346,8 +331,6 @@
   else if (read_object (call, body, &object, &error))
     {
       object.era = call->client->era;
-      if (object.version == 0)
-        update_watch_grace (call);
       call_finish (call, &object, NULL);
       g_clear_pointer (&object.value, g_bytes_unref);
       return;
@@ -361,11 +344,8 @@
   Call *call = data;
 
   call->timer = 0;
-  if (call->kind != WS_CALL_WATCH)
-    call->client->timeout_ms =
-        MIN (call->client->timeout_ms * 2, call->client->initial_timeout_ms * MAX_TIMEOUT_FACTOR);
-  else
-    call->client->watch_grace_ms = MIN (call->client->watch_grace_ms * 2, MAX_WATCH_GRACE_MS);
+  call->client->timeout_ms =
+      MIN (call->client->timeout_ms * 2, call->client->initial_timeout_ms * MAX_TIMEOUT_FACTOR);
   close_idle_connections (call->client);
   g_cancellable_cancel (call->cancellable);
   return G_SOURCE_REMOVE;
@@ -456,6 +436,12 @@
   call_send (call, client->timeout_ms);
 }
 
+guint
+ws_client_watch_limit_ms (const WsClient *client, guint timeout_ms)
+{
+  return timeout_ms + client->timeout_ms;
+}
+
 void
 ws_client_watch (WsClient *client,
                  const gchar *key,
@@ -471,7 +457,7 @@
   client->codec->encode_watch (key, position, timeout_ms, &request);
   call = call_new (client, WS_CALL_WATCH, key, &request, callback, context);
   call->watch_end_us = g_get_monotonic_time () + timeout_ms * WB_US_PER_MS;
-  call_send (call, timeout_ms + client->watch_grace_ms);
+  call_send (call, ws_client_watch_limit_ms (client, timeout_ms));
 }
 
 static void
--- a/store/ws-client.h
+++ b/store/ws-client.h
@@ -61,8 +61,8 @@
  * @timeout_ms: longest wait; then the platform ends the watch, and @callback gets neither an error
  *   nor an object with a version
  *
- * When the connection is silent, the watch fails with WS_ERROR_UNREACHABLE about one second after
- * @timeout_ms, or later when the platform ended previous watches late.
+ * When the connection is silent, the watch fails with WS_ERROR_UNREACHABLE: the time-out of a call
+ * after @timeout_ms. That time-out is longer while the platform is slow.
  */
 void ws_client_watch (WsClient *client,
                       const gchar *key,
@@ -71,6 +71,12 @@
                       WsResponseFunc callback,
                       gpointer context);
 
+/**
+ * ws_client_watch_limit_ms() - time after which a watch of @timeout_ms that gets no response fails,
+ *   in milliseconds
+ */
+guint ws_client_watch_limit_ms (const WsClient *client, guint timeout_ms);
+
 /** ws_client_store() - the client as a WsStore; takes ownership of @client */
 WsStore ws_client_store (WsClient *client);
 
--- a/tests/test-silent.c
+++ b/tests/test-silent.c
@@ -13,6 +13,9 @@
 #define CALL_TIMEOUT_MS 200
 #define WATCH_TIMEOUT_MS 200
 #define REQUEST_BYTES 4096
+/* The users' bound for a configuration, and the longest first delay after a failure. */
+#define BOUND_MS 3000
+#define RETRY_MS 200
 
 typedef struct
 {
@@ -298,11 +301,37 @@
   fixture_clear (&fixture);
 }
 
+/* Guards against CONFIG: silence that is noticed later than a configuration has to be in effect.
+ * Only what the store takes for calls may lengthen the time, not an earlier silence. */
+static void
+test_watch_limit (void)
+{
+  const guint call_ms = 500, watch_ms = 2000; /* of a daemon */
+  Fixture fixture;
+
+  fixture_init (&fixture);
+  ws_client_set_timeout (fixture.client, call_ms);
+  g_assert_cmpuint (ws_client_watch_limit_ms (fixture.client, watch_ms) + RETRY_MS, <, BOUND_MS);
+  ws_client_set_timeout (fixture.client, CALL_TIMEOUT_MS);
+  ws_watcher_set_active (fixture.watcher, TRUE);
+  g_main_loop_run (fixture.loop);
+  g_assert_cmpuint (ws_client_watch_limit_ms (fixture.client, watch_ms), ==,
+                    watch_ms + CALL_TIMEOUT_MS);
+  silence_connections (&fixture);
+  fixture.version = 8;
+  g_main_loop_run (fixture.loop);
+  g_assert_cmpuint (fixture.calls_failed, ==, 1);
+  g_assert_cmpuint (ws_client_watch_limit_ms (fixture.client, watch_ms), ==,
+                    watch_ms + CALL_TIMEOUT_MS);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/silent/idle-connections", test_idle_connections);
   g_test_add_func ("/silent/outstanding-watch", test_outstanding_watch);
+  g_test_add_func ("/silent/watch-limit", test_watch_limit);
   return g_test_run ();
 }
