Read the configuration soon when the store answers that a position is gone

What callers saw. After an outage, the end of which also lost the history, a change came into effect up to a second later than the store could have told it.

The delay between attempts doubles during an outage, up to 1 s, and was not shortened by the answer that the history is gone, although that answer shows that the store works again.

Such an answer resets the delay to the first one, 0.1 to 0.2 s. It stays a delay, so that a store that always gives this answer is not called in a loop.

--- a/store/ws-watch.c
+++ b/store/ws-watch.c
@@ -355,8 +355,12 @@
 
   watcher->watch_outstanding = FALSE;
   check_era (watcher);
+  /* The store works, whatever the delay has grown to during an outage. */
   if (error != NULL && error->code == WS_ERROR_HISTORY_COMPACTED)
-    watcher->resume_position = 0;
+    {
+      watcher->resume_position = 0;
+      ws_backoff_reset (&watcher->backoff);
+    }
   if (error != NULL && error->code != WS_ERROR_NOT_FOUND)
     {
       schedule_retry (watcher, error);
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -13,6 +13,7 @@
   GHashTable *objects;      /* key to WsObject */
   GPtrArray *pending_calls; /* of Call */
   guint failing_reads;      /* number of next reads that fail */
+  WsError read_error;       /* of the reads that fail */
   guint part_reads;
   guint writes;
   guint watch_timeout_ms; /* of the last watch */
@@ -26,6 +27,7 @@
   guint era_changes;
   guint reads_finished;
   guint calls_failed;
+  gint64 retry_us; /* delay after the last failure */
   gboolean platform_reached;
 } Fixture;
 
@@ -94,7 +96,7 @@
   else if (fixture->failing_reads > 0)
     {
       fixture->failing_reads--;
-      return new_error (WS_ERROR_UNREACHABLE);
+      return new_error (fixture->read_error);
     }
   fixture->part_reads += g_str_has_prefix (call->key, WS_KEY_PARTS);
   *found = g_hash_table_lookup (fixture->objects, call->key);
@@ -228,6 +230,7 @@
   Fixture *fixture = context;
 
   fixture->calls_failed++;
+  fixture->retry_us = failure->retry_us;
 }
 
 static void
@@ -387,6 +390,37 @@
   fixture_clear (&fixture);
 }
 
+static void
+fail_calls (Fixture *fixture, guint count, WsError error)
+{
+  guint failed = fixture->calls_failed;
+
+  fixture->failing_reads = count;
+  fixture->read_error = error;
+  while (fixture->calls_failed < failed + count)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Guards against CONFIG: when an outage has ended and the store answers that the position is gone,
+ * the content is read after the long delay that the outage has led to. */
+static void
+test_delay_after_compaction (void)
+{
+  const gint64 first_us = 2 * WB_US_PER_MS, longest_us = 64 * WB_US_PER_MS;
+  Fixture fixture;
+
+  fixture_init (&fixture);
+  ws_watcher_set_backoff (fixture.watcher, first_us, longest_us);
+  store_config (&fixture, SERVICE);
+  ws_watcher_set_active (fixture.watcher, TRUE);
+  g_main_loop_run (fixture.loop);
+  fail_calls (&fixture, 8, WS_ERROR_UNREACHABLE);
+  g_assert_cmpint (fixture.retry_us, >, first_us);
+  fail_calls (&fixture, 1, WS_ERROR_HISTORY_COMPACTED);
+  g_assert_cmpint (fixture.retry_us, <=, first_us);
+  fixture_clear (&fixture);
+}
+
 /* Guards against a reported version that is not newer than the one that the node has from another
  * member, and against a fetch of parts that the node has. */
 static void
@@ -475,6 +509,7 @@
   g_test_add_func ("/watch/read", test_read);
   g_test_add_func ("/watch/watch", test_watch);
   g_test_add_func ("/watch/call-after-failure", test_call_after_failure);
+  g_test_add_func ("/watch/delay-after-compaction", test_delay_after_compaction);
   g_test_add_func ("/watch/known", test_known_config);
   g_test_add_func ("/watch/contacts", test_contacts);
   g_test_add_func ("/watch/contacts-replaced", test_contacts_replaced);
