--- a/standins/platform-main.c
+++ b/standins/platform-main.c
@@ -10,6 +10,9 @@
 #define MAX_BODY_BYTES 1100000
 #define MAX_WATCH_MS 60000
 
+/* Data of a connection's socket: 1 more than silence_count at its first request. */
+#define SILENCE_COUNT_KEY "silence-count"
+
 typedef struct
 {
   guint64 version;
@@ -33,6 +36,7 @@
   guint slow_ms;           /* delay of each response */
   guint lose_writes;       /* number of next writes that are carried out without a response */
   guint down_after_writes; /* start an outage after this many writes; 0: never */
+  guint silence_count;     /* times that the open connections have become silent */
 } state;
 
 static void
@@ -264,11 +268,40 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Whether the connection had carried a request when the open connections became silent. */
+static gboolean
+is_silent (SoupServerMessage *message)
+{
+  GObject *connection = G_OBJECT (soup_server_message_get_socket (message));
+  guint opened = GPOINTER_TO_UINT (g_object_get_data (connection, SILENCE_COUNT_KEY));
+
+  if (opened == 0)
+    {
+      opened = state.silence_count + 1;
+      g_object_set_data (connection, SILENCE_COUNT_KEY, GUINT_TO_POINTER (opened));
+    }
+  return opened <= state.silence_count;
+}
+
+/* Lets the open connections get no response any more, and stay open. */
+static void
+silence_connections (void)
+{
+  state.silence_count++;
+  while (state.watches->len > 0)
+    end_watch (g_ptr_array_index (state.watches, 0));
+}
+
 static void
 handle_object (SoupServerMessage *message, const gchar *key, GHashTable *query)
 {
   const gchar *method = soup_server_message_get_method (message);
 
+  if (is_silent (message))
+    {
+      soup_server_message_pause (message);
+      return;
+    }
   if (state.down)
     {
       close_connection (message);
@@ -313,6 +346,8 @@
   state.down_after_writes = read_uint_member (faults, "down_after_writes");
   if (json_object_get_boolean_member_with_default (faults, "down", FALSE))
     start_outage ();
+  if (json_object_get_boolean_member_with_default (faults, "silence", FALSE))
+    silence_connections ();
   soup_server_message_set_status (message, SOUP_STATUS_NO_CONTENT, NULL);
 }
 
