--- a/soak/soak-main.c
+++ b/soak/soak-main.c
@@ -406,8 +406,11 @@
     return;
   if (now_us >= next_silence_us && now_us < faults_end_us)
     {
-      next_silence_us =
-          now_us + SILENCE_CALM_US + g_rand_int_range (silence_generator, 2, 6) * WB_US_PER_S;
+      gint64 pause_us = g_rand_int_range (silence_generator, 3000, 5000) * WB_US_PER_MS;
+
+      if (++silence_count % SILENCES_IN_SERIES == 0)
+        pause_us += SILENCE_CALM_US;
+      next_silence_us = now_us + pause_us;
       silence_us = now_us + SILENCE_DELAY_US;
       next_fault_us = now_us + SILENCE_CALM_US;
       change_config ();
