Take the times of the silent-watch test from the daemon's own constants

Cause. /silent/watch-limit repeated 500 ms and 2 s as numbers of its own, so that a longer time-out or wait of the daemons would not have failed it.

The time-out of a daemon's calls and the default wait of a watch are named in ws-client.h and wc-settings.h, where the test takes them from.

--- a/config/wc-settings.c
+++ b/config/wc-settings.c
@@ -13,7 +13,6 @@
 #define MAX_DEVICE_NAME_LENGTH 15
 
 /* A dead connection to the platform is detected after one such time-out. */
-#define DEFAULT_WATCH_TIMEOUT_US (2 * WB_US_PER_S)
 #define MAX_WATCH_TIMEOUT_US (30 * WB_US_PER_S)
 
 #define DEFAULT_SERVER_INTERVAL_US WB_US_PER_S
@@ -155,7 +154,7 @@
   const gchar *protocol = wc_reader_string (reader, document, "platform_protocol", FALSE);
 
   settings->platform_protocol = g_strdup (protocol != NULL ? protocol : DEFAULT_PLATFORM_PROTOCOL);
-  settings->platform_watch_timeout_us = DEFAULT_WATCH_TIMEOUT_US;
+  settings->platform_watch_timeout_us = WC_DEFAULT_WATCH_TIMEOUT_US;
   wc_reader_duration (reader, document, "platform_watch", WB_US_PER_MS, MAX_WATCH_TIMEOUT_US,
                       &settings->platform_watch_timeout_us);
 }
--- a/config/wc-settings.h
+++ b/config/wc-settings.h
@@ -11,6 +11,9 @@
  * to the configuration that all processes share (WcConfig).
  */
 
+/** Default of "platform_watch", in microseconds. */
+#define WC_DEFAULT_WATCH_TIMEOUT_US (2 * WB_US_PER_S)
+
 /**
  * struct WcAddress - an IPv4 address and a port, in host byte order
  */
--- a/daemon/wd-node.c
+++ b/daemon/wd-node.c
@@ -22,9 +22,6 @@
 #define HTTP_NOT_FOUND 404
 #define HTTP_UNAVAILABLE 503
 
-/* The object store responds within milliseconds, and within a quarter of a second when it is slow.
- * A call that got lost while the store was down must not delay the next one. */
-#define PLATFORM_CALL_TIMEOUT_MS 500
 /* Interval of reading the platform while no configuration is known. */
 #define PLATFORM_READ_INTERVAL_US (1 * WB_US_PER_S)
 /* Time for which a process that holds a copy of the configuration waits for the word of members
@@ -595,7 +592,7 @@
   node->store_client = ws_client_new (settings->platform_url, node->platform->object_codec, error);
   if (node->store_client == NULL)
     return FALSE;
-  ws_client_set_timeout (node->store_client, PLATFORM_CALL_TIMEOUT_MS);
+  ws_client_set_timeout (node->store_client, WS_DAEMON_CALL_TIMEOUT_MS);
   store = ws_client_store (node->store_client);
   node->watcher =
       ws_watcher_new (&store, node->platform->config_format, &callbacks, g_random_int ());
--- a/store/ws-client.h
+++ b/store/ws-client.h
@@ -12,6 +12,11 @@
  */
 typedef struct WsClient WsClient;
 
+/** Time-out of a daemon's calls, in milliseconds. The object store responds within milliseconds,
+ * and within a quarter of a second when it is slow. A call that got lost while the store was down
+ * must not delay the next one. */
+#define WS_DAEMON_CALL_TIMEOUT_MS 500
+
 /**
  * ws_client_new() - creates a client; it connects with the first call
  * @base_url: for example "http://192.0.2.1:8000"
--- a/tests/test-silent.c
+++ b/tests/test-silent.c
@@ -1,3 +1,4 @@
+#include "wc-settings.h"
 #include "wp.h"
 #include "ws-client.h"
 #include "ws-watch.h"
@@ -306,11 +307,11 @@
 static void
 test_watch_limit (void)
 {
-  const guint call_ms = 500, watch_ms = 2000; /* of a daemon */
+  const guint watch_ms = WC_DEFAULT_WATCH_TIMEOUT_US / WB_US_PER_MS;
   Fixture fixture;
 
   fixture_init (&fixture);
-  ws_client_set_timeout (fixture.client, call_ms);
+  ws_client_set_timeout (fixture.client, WS_DAEMON_CALL_TIMEOUT_MS);
   g_assert_cmpuint (ws_client_watch_limit_ms (fixture.client, watch_ms) + RETRY_MS, <, BOUND_MS);
   ws_client_set_timeout (fixture.client, CALL_TIMEOUT_MS);
   ws_watcher_set_active (fixture.watcher, TRUE);
