--- a/soak/sk-probe.c
+++ b/soak/sk-probe.c
@@ -189,6 +189,6 @@
     return;
   next_probe_us = now_us + PROBE_INTERVAL_US;
   for (i = 0; i < SK_BALANCER_COUNT; i++)
-    if (sk_balancer_is_in_touch (i, now_us))
+    if (sk_balancer_is_stable (i, now_us))
       probe_balancer (i, now_us);
 }
--- a/soak/sk.h
+++ b/soak/sk.h
@@ -61,10 +61,10 @@
 gboolean sk_host_is_stable (guint32 address);
 
 /**
- * sk_balancer_is_in_touch() - whether a balancer has run, and the store has worked, for the users'
+ * sk_balancer_is_stable() - whether a balancer has run, and the store has worked, for the users'
  * stability window, so that the bound of configurations holds for it
  */
-gboolean sk_balancer_is_in_touch (guint balancer, gint64 now_us);
+gboolean sk_balancer_is_stable (guint balancer, gint64 now_us);
 
 /** sk_report_violation() - prints and counts a broken guarantee; the run continues */
 void sk_report_violation (const gchar *format, ...) G_GNUC_PRINTF (1, 2);
--- a/soak/soak-main.c
+++ b/soak/soak-main.c
@@ -242,7 +242,7 @@
 }
 
 gboolean
-sk_balancer_is_in_touch (guint balancer, gint64 now_us)
+sk_balancer_is_stable (guint balancer, gint64 now_us)
 {
   const Host *host = &hosts[balancer];
   gint64 disturbed_us = MAX (host->started_us, host->last_fault_end_us);
--- a/tests/test-silent.c
+++ b/tests/test-silent.c
@@ -237,8 +237,9 @@
     silence_connection (fixture, i);
 }
 
-/* Guards against CONFIG: after the watch has timed out on a silent connection, the next call is
- * sent on an idle connection that is silent too, and the change comes another time-out later. */
+/* Guards against a configuration in effect too late: after the watch has timed out on a silent
+ * connection, the next call is sent on an idle connection that is silent too, and the change comes
+ * another time-out later. */
 static void
 test_idle_connections (void)
 {
@@ -302,8 +303,8 @@
   fixture_clear (&fixture);
 }
 
-/* Guards against CONFIG: silence that is noticed later than a configuration has to be in effect.
- * Only what the store takes for calls may lengthen the time, not an earlier silence. */
+/* Guards against a configuration in effect too late: silence has to be noticed within the users'
+ * bound. Only what the store takes for calls may lengthen the time, not an earlier silence. */
 static void
 test_watch_limit (void)
 {
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -362,9 +362,9 @@
   fixture_clear (&fixture);
 }
 
-/* Guards against CONFIG: after a failure, the next call must not wait for a change. The position
- * may be of content that the store has lost, or the connection silent, and a whole watch would pass
- * before that is noticed. */
+/* Guards against a configuration in effect too late: after a failure, the next call must not wait
+ * for a change. The position may be of content that the store has lost, or the connection silent,
+ * and a whole watch would pass before that is noticed. */
 static void
 test_call_after_failure (void)
 {
@@ -401,8 +401,9 @@
     g_main_context_iteration (NULL, TRUE);
 }
 
-/* Guards against CONFIG: when an outage has ended and the store answers that the position is gone,
- * the content is read after the long delay that the outage has led to. */
+/* Guards against a configuration in effect too late: when an outage has ended and the store answers
+ * that the position is gone, the content is read after the long delay that the outage has led to.
+ */
 static void
 test_delay_after_compaction (void)
 {
