--- /dev/null
+++ b/review/standins/store.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/* The platform's metadata store, as far as the programs use it. */
+
+#include <glib.h>
+
+gboolean store_open (const gchar *host, guint port, GError **error);
+void store_close (void);
+
+/* Writes an object as the operator does. Return: its revision */
+guint64 store_put (const gchar *kind, const gchar *name, const gchar *spec);
