Review case 4: a cold endpoint gets more than it bears when it is added while the store is down

Cause: an agent opens flows before it has a configuration, which brings the limit of cold endpoints.

--- a/review/standins/store.c
+++ b/review/standins/store.c
@@ -23,6 +23,7 @@
 static GPtrArray *watches;
 static guint64 revision = 10;
 static guint timer;
+static gboolean silent; /* requests are accepted and never answered */
 
 static void
 object_free (gpointer data)
@@ -101,17 +102,31 @@
   return TRUE;
 }
 
+static void
+hold (SoupServerMessage *message, const gchar *kind, guint64 position, gint64 deadline_us)
+{
+  Watch *watch = g_new0 (Watch, 1);
+
+  watch->message = g_object_ref (message);
+  watch->kind = g_strdup (kind);
+  watch->position = position;
+  watch->deadline_us = deadline_us;
+  soup_server_message_pause (message);
+  g_ptr_array_add (watches, watch);
+}
+
 static gboolean
 answer_watches (gpointer data)
 {
   gint64 now_us = g_get_monotonic_time ();
   guint i = 0;
 
-  while (i < watches->len)
+  while (!silent && i < watches->len)
     {
       Watch *watch = g_ptr_array_index (watches, i);
 
-      if (!try_watch (watch->message, watch->kind, watch->position, now_us >= watch->deadline_us))
+      if (watch->kind == NULL ||
+          !try_watch (watch->message, watch->kind, watch->position, now_us >= watch->deadline_us))
         {
           i++;
           continue;
@@ -195,6 +210,11 @@
   const gchar *wait_text = query != NULL ? g_hash_table_lookup (query, "wait_ms") : NULL;
   g_autoptr (GString) text = g_string_new (NULL);
 
+  if (silent)
+    {
+      hold (message, NULL, 0, 0);
+      return;
+    }
   if (g_strv_length (parts) < 4)
     {
       respond (message, 404, "{}");
@@ -212,18 +232,11 @@
   if (watch_text != NULL)
     {
       guint64 position = g_ascii_strtoull (watch_text, NULL, 10);
-      Watch *watch;
-
-      if (try_watch (message, parts[3], position, FALSE))
-        return;
-      watch = g_new0 (Watch, 1);
-      watch->message = g_object_ref (message);
-      watch->kind = g_strdup (parts[3]);
-      watch->position = position;
-      watch->deadline_us = g_get_monotonic_time () +
-                           (wait_text != NULL ? g_ascii_strtoll (wait_text, NULL, 10) : 0) * 1000;
-      soup_server_message_pause (message);
-      g_ptr_array_add (watches, watch);
+
+      if (!try_watch (message, parts[3], position, FALSE))
+        hold (message, parts[3], position,
+              g_get_monotonic_time () +
+                  (wait_text != NULL ? g_ascii_strtoll (wait_text, NULL, 10) : 0) * 1000);
       return;
     }
   if (parts[4] != NULL)
@@ -242,6 +255,12 @@
   respond (message, 200, text->str);
 }
 
+void
+store_set_silent (gboolean now_silent)
+{
+  silent = now_silent;
+}
+
 gboolean
 store_open (const gchar *host, guint port, GError **error)
 {
--- a/review/standins/world.c
+++ b/review/standins/world.c
@@ -1,10 +1,10 @@
 /*
  * Plays one case of the review: starts balancers and agents of the project as separate processes on
  * loopback addresses, is their platform (store, routers), their clients and their endpoints, brings
- * the disruption of the case about and checks the rule FLOW as RULES.md words it.
+ * the disruption of the case about and checks the rules FLOW and FAILBACK as RULES.md words them.
  *
- * Usage: world CASE BALANCER-COMMAND AGENT-COMMAND FOLDER RECORD, with CASE "move-route" or
- * "foreign-heartbeat"; TROUBLE=0 in the environment leaves the disruption out.
+ * Usage: world CASE BALANCER-COMMAND AGENT-COMMAND FOLDER RECORD, with CASE "move-route",
+ * "foreign-heartbeat" or "cold-endpoint"; TROUBLE=0 in the environment leaves the disruption out.
  *
  * Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
  */
@@ -30,7 +30,7 @@
 #define S 1000000
 
 /* A small deployment: two services, three zones. */
-#define BALANCERS 4
+#define BALANCERS 3
 #define DESKS 5  /* endpoints of the service "desk" */
 #define SHEETS 3 /* endpoints of the service "sheets" */
 #define ENDPOINTS (DESKS + SHEETS)
@@ -45,6 +45,19 @@
 #define CONFIG_PROPAGATION_US (3000 * MS)
 #define DEADLINE_US (8 * S)
 #define WORK_US (30 * MS)
+#define IDLE_TIMEOUT_MS 15000
+
+/* The case of the cold endpoint: bounds and times of the sites that have cold endpoints. */
+#define COLD_ENDPOINT 4 /* index of the endpoint that is added */
+#define COLD_START_MS 2000
+#define COLD_PER_S 4
+#define COLD_OVERAGE 1.5
+#define COLD_SLACK 5
+#define LOAD_PER_S 240
+#define LOAD_END_US (6 * S)
+#define ADDED_US (2 * S)        /* after the begin of the traffic */
+#define STORE_DOWN_US (4500 * MS) /* from half a second before */
+#define LOAD_PORT 10000
 #define BODY_BYTES 12000
 /* A reset counts when its seq is this close to the last acknowledgment of the client. */
 #define RESET_WINDOW 76800
@@ -88,6 +101,7 @@
   guint32 first; /* sequence number of the SYN+ACK */
   guint32 client_first;
   gboolean open;
+  gboolean ended;
   End end;
   gint64 respond_us; /* 0: no request is being worked on */
   gchar request[64];
@@ -113,8 +127,16 @@
   guint32 sequences[64];
   gint64 first_elsewhere_us;
   gboolean misrouted;
+  gint64 syn_us; /* last copy of the SYN */
+  guint16 route_port;
 };
 
+/* An opening packet that the cold endpoint took. */
+typedef struct
+{
+  gint64 sent_us, arrived_us;
+} Opening;
+
 static GMainLoop *loop;
 static SoupSession *session;
 static FILE *record;
@@ -131,7 +153,12 @@
 static guint32 client_address, route_address;
 static gchar *client_ip;
 static gboolean trouble;
-static gboolean move_route;
+static gboolean move_route, cold_case;
+static GHashTable *load; /* port to Flow */
+static guint load_started, load_answered, load_ended;
+static gint64 next_load_us;
+static GArray *openings; /* of Opening */
+static guint cold_most;
 static gchar *folder;
 static gchar *balancer_command, *agent_command;
 static guint step;
@@ -208,6 +235,9 @@
 {
   guint i;
 
+  if (port >= LOAD_PORT && port < 40000)
+    return load != NULL ? g_hash_table_lookup (load, GUINT_TO_POINTER (port)) : NULL;
+
   for (i = 0; i < FLOWS; i++)
     if (flows[i].port == port)
       return &flows[i];
@@ -222,7 +252,7 @@
   gint64 now_us = g_get_monotonic_time ();
   guint i;
 
-  if (flow == NULL || flow->holder == NULL)
+  if (flow == NULL || flow->holder == NULL || cold_case)
     return;
   if (flow->holder == endpoint)
     {
@@ -250,6 +280,51 @@
   endpoint_send (endpoint, copy, length);
 }
 
+static gint64
+cold_left_ms (const Endpoint *endpoint)
+{
+  return cold_case && endpoint == &endpoints[COLD_ENDPOINT]
+             ? MAX (0, endpoint->born_ms + COLD_START_MS - g_get_real_time () / MS)
+             : 0;
+}
+
+/* The cold endpoint takes a flow. */
+static void
+count_opening (const Endpoint *endpoint, guint16 port)
+{
+  const Flow *flow = flow_of (port);
+  Opening opening = { .arrived_us = g_get_monotonic_time () };
+
+  if (cold_left_ms (endpoint) == 0 || flow == NULL)
+    return;
+  opening.sent_us = flow->syn_us;
+  g_array_append_val (openings, opening);
+  note ("%s takes flow %u, sent %d ms ago; cold for %d ms more", endpoint->name, port,
+        (gint) ((opening.arrived_us - opening.sent_us) / MS), (gint) cold_left_ms (endpoint));
+}
+
+/* The most requests that were sent and arrived inside one second. */
+static guint
+most_in_a_second (void)
+{
+  guint most = 0, i, j;
+
+  for (i = 0; i < openings->len; i++)
+    {
+      gint64 begin = g_array_index (openings, Opening, i).sent_us;
+      guint count = 0;
+
+      for (j = 0; j < openings->len; j++)
+        {
+          const Opening *opening = &g_array_index (openings, Opening, j);
+
+          count += opening->sent_us >= begin && opening->arrived_us < begin + S;
+        }
+      most = MAX (most, count);
+    }
+  return most;
+}
+
 static void
 take_syn (Endpoint *endpoint, const Packet *packet)
 {
@@ -269,7 +344,8 @@
                          .send = endpoint_send,
                          .context = endpoint };
       end_open (&held->end, held->first + 1, packet->sequence + 1);
-      g_hash_table_insert (endpoint->flows, GUINT_TO_POINTER (packet->source_port), held);
+      g_hash_table_replace (endpoint->flows, GUINT_TO_POINTER (packet->source_port), held);
+      count_opening (endpoint, packet->source_port);
     }
   end_send_flags (&held->end, FLAG_SYN | FLAG_ACK, held->first, held->client_first + 1);
 }
@@ -296,7 +372,8 @@
   held->request[strcspn (held->request, "\r")] = '\0';
   g_byte_array_remove_range (held->end.in, 0, (guint) total);
   held->respond_us = g_get_monotonic_time () + WORK_US;
-  note ("%s runs request %s", held->endpoint->name, held->request);
+  if (!cold_case)
+    note ("%s runs request %s", held->endpoint->name, held->request);
 }
 
 static gboolean
@@ -327,6 +404,16 @@
           bounce (endpoint, bytes, (gsize) length);
           continue;
         }
+      if (packet.flags & FLAG_FIN)
+        {
+          if (!held->ended)
+            end_send_flags (&held->end, FLAG_FIN | FLAG_ACK, held->end.send_next,
+                            packet.sequence + 1);
+          held->ended = TRUE;
+          continue;
+        }
+      if (held->ended)
+        continue;
       if (!held->open)
         {
           Flow *flow = flow_of (packet.source_port);
@@ -335,7 +422,8 @@
           if (flow != NULL)
             {
               flow->holder = endpoint;
-              note ("flow %u is open at %s", flow->port, endpoint->name);
+              if (!cold_case)
+                note ("flow %u is open at %s", flow->port, endpoint->name);
             }
         }
       end_receive (&held->end, &packet, g_get_monotonic_time ());
@@ -375,14 +463,17 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (endpoint->born_ms == 0)
+    return;
   if (now_us >= endpoint->next_heartbeat_us)
     {
       g_autofree gchar *text = g_strdup_printf (
           "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z%u\",\"version\":\"v1\","
-          "\"slots\":%u,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":%" G_GUINT64_FORMAT
-          ",\"born\":%" G_GINT64_FORMAT "}",
+          "\"slots\":%u,\"state\":\"ready\",\"cold_remaining_ms\":%" G_GINT64_FORMAT
+          ",\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT "}",
           endpoint->service, endpoint->ip, port_of (PORT_APP),
-          (guint) (endpoint - endpoints) % 3, SLOTS, ++endpoint->sequence, endpoint->born_ms);
+          (guint) (endpoint - endpoints) % 3, SLOTS, cold_left_ms (endpoint), ++endpoint->sequence,
+          endpoint->born_ms);
 
       endpoint->next_heartbeat_us = now_us + HEARTBEAT_US;
       put_heartbeat (endpoint, endpoint->identifier, text, NULL);
@@ -392,7 +483,7 @@
     {
       Held *held = value;
 
-      if (!held->open)
+      if (!held->open || held->ended)
         continue;
       end_tick (&held->end, now_us);
       if (held->respond_us != 0 && now_us >= held->respond_us)
@@ -454,6 +545,8 @@
   end_write (&flow->end, text, strlen (text), flow->sent_us);
 }
 
+static void load_request (Flow *flow);
+
 static void
 take_answer (Flow *flow)
 {
@@ -470,6 +563,13 @@
   total = (gsize) (header_end + 4 - text) + g_ascii_strtoull (length_at + 16, NULL, 10);
   if (flow->end.in->len < total)
     return;
+  if (cold_case)
+    {
+      flow->answers++;
+      load_answered++;
+      end_send_flags (&flow->end, FLAG_FIN | FLAG_ACK, flow->end.send_next, flow->end.receive_next);
+      return;
+    }
   note ("flow %u: client gets \"%.*s\"", flow->port, (gint) (total - (gsize) (header_end + 4 - text)),
         header_end + 4);
   g_byte_array_remove_range (flow->end.in, 0, (guint) total);
@@ -483,6 +583,11 @@
   gint32 distance = flow->has_end ? (gint32) (packet->sequence - flow->end.receive_next) : 0;
   gboolean valid = packet->sum == 0 && packet->length == 0 && ABS (distance) <= RESET_WINDOW;
 
+  if (cold_case && flow->holder == NULL)
+    {
+      flow->reset = TRUE; /* refused; this client doesn't try again */
+      return;
+    }
   note ("flow %u: client gets a %s reset from 127.%u.%u.%u%s", flow->port,
         valid ? "valid" : "meaningless", (from >> 16) & 255, (from >> 8) & 255, from & 255,
         flow->holder != NULL ? "; the flow is open and its endpoint has sent none" : "");
@@ -520,10 +625,13 @@
           flow->open = TRUE;
           end_open (&flow->end, flow->first + 1, packet.sequence + 1);
           flow->has_end = TRUE;
-          flow_request (flow);
+          if (cold_case)
+            load_request (flow);
+          else
+            flow_request (flow);
           continue;
         }
-      if (!flow->open)
+      if (!flow->open || (cold_case && flow->answers > 0))
         continue;
       end_receive (&flow->end, &packet, g_get_monotonic_time ());
       take_answer (flow);
@@ -536,13 +644,16 @@
 {
   static const gint64 copies_us[] = { 0, 200 * MS, 600 * MS };
 
-  if (flow->port == 0 || flow->reset)
+  if (flow->port == 0 || flow->reset || (cold_case && (flow->answers > 0 || load_ended)))
     return;
   if (!flow->open)
     {
       if (flow->syns < G_N_ELEMENTS (copies_us) &&
           now_us - flow->opened_us >= copies_us[flow->syns])
-        end_send_flags (&flow->end, FLAG_SYN, flow->first, flow->syns++);
+        {
+          flow->syn_us = now_us;
+          end_send_flags (&flow->end, FLAG_SYN, flow->first, flow->syns++);
+        }
       return;
     }
   if (flow->answers == flow->requests || now_us - flow->sent_us < DEADLINE_US)
@@ -585,11 +696,63 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Load of one request a flow. */
+
+static void
+load_begin (void)
+{
+  Flow *flow = g_new0 (Flow, 1);
+
+  flow->port = (guint16) (LOAD_PORT + load_started++);
+  flow->first = g_random_int ();
+  flow->opened_us = flow->syn_us = g_get_monotonic_time ();
+  flow->end = (End){ .local = client_address,
+                     .local_port = flow->port,
+                     .remote = route_address + 1,
+                     .remote_port = ROUTE_PORT,
+                     .send = client_send,
+                     .context = flow };
+  flow->syns = 1;
+  g_hash_table_insert (load, GUINT_TO_POINTER (flow->port), flow);
+  end_send_flags (&flow->end, FLAG_SYN, flow->first, 0);
+}
+
+static void
+load_request (Flow *flow)
+{
+  g_autofree gchar *text =
+      g_strdup_printf ("GET /status HTTP/1.1\r\nRequest-Id: s-%u\r\nContent-Length: 0\r\n\r\n",
+                       flow->port);
+
+  flow->requests++;
+  flow->sent_us = g_get_monotonic_time ();
+  end_write (&flow->end, text, strlen (text), flow->sent_us);
+}
+
+static void
+load_tick (gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (next_load_us == 0)
+    next_load_us = now_us;
+  for (; next_load_us <= now_us && now_us < begin_us + LEAD_US + LOAD_END_US;
+       next_load_us += S / LOAD_PER_S)
+    load_begin ();
+  g_hash_table_iter_init (&iter, load);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    flow_tick (value, now_us);
+}
+
 /* The operator. */
 
 static void
 write_config (guint version, const gchar *service, guint idle_ms)
 {
+  g_autofree gchar *cold_limit =
+      g_strdup_printf (",\"cold_start_s\":%.1f,\"cold_per_s\":%.1f", COLD_START_MS / 1000.0,
+                       (gdouble) COLD_PER_S);
   g_autofree gchar *text = g_strdup_printf (
       "{\"version\":%u,\"routes\":["
       "{\"name\":\"r-sheets\",\"host\":\"127.%u.%u.250\",\"path_prefix\":\"/%u/\",\"kind\":\"unsafe\","
@@ -599,12 +762,12 @@
       "\"timeout_ms\":2500,\"target_latency_ms\":150,\"priority\":2,\"service\":\"desk\","
       "\"max_attempts\":2}],\"services\":["
       "{\"name\":\"desk\",\"health_check_path\":\"/health\",\"flow_limit\":2000,\"protocol\":\"h1\","
-      "\"tls\":false},"
+      "\"tls\":false%s},"
       "{\"name\":\"sheets\",\"health_check_path\":\"/health\",\"flow_limit\":2000,\"protocol\":\"h1\","
-      "\"tls\":false}],\"limits\":{\"header_bytes\":16384,\"body_bytes\":262144,"
+      "\"tls\":false%s}],\"limits\":{\"header_bytes\":16384,\"body_bytes\":262144,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":%u}}",
       version, net_b, net_c, ROUTE_PORT, (guint) (DEADLINE_US / MS), service, net_b, net_c,
-      ROUTE_PORT, idle_ms);
+      ROUTE_PORT, cold_case ? cold_limit : "", cold_case ? cold_limit : "", idle_ms);
 
   (void) store_put ("config", "main", text);
   note ("operator: version %u acknowledged; route r-sheets leads new flows to %s", version,
@@ -628,6 +791,9 @@
       port_of (PORT_STORE), balancer_ips[0], port_of (PORT_CONTROL_PLANE), balancer_ips[1],
       port_of (PORT_CONTROL_PLANE), balancer_ips[2], port_of (PORT_CONTROL_PLANE),
       port_of (PORT_CONTROL), ip, port_of (PORT_READINESS), ip, port_of (PORT_METRICS));
+  /* As the templates have them where the deployment has bounds for cold endpoints. */
+  if (cold_case)
+    g_string_append (text, "evacuations = true\nzone_affinity = true\n");
   return text;
 }
 
@@ -692,6 +858,8 @@
   g_autofree gchar *zone = g_strdup_printf ("z%u", index % 3);
   GString *text = common_settings (endpoint->name, zone, endpoint->ip);
 
+  if (cold_case)
+    g_string_append_printf (text, "cold_overage = %g\ncold_slack = %d\n", COLD_OVERAGE, COLD_SLACK);
   g_string_append_printf (
       text,
       "service = \"%s\"\nservers_address = \"%s:%u\"\nserver_interval = \"1200ms\"\n"
@@ -796,7 +964,7 @@
 bring_trouble (void)
 {
   if (move_route)
-    write_config (9, trouble ? "desk" : "sheets", trouble ? 15000 : 14000);
+    write_config (9, trouble ? "desk" : "sheets", trouble ? IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS - 1000);
   else if (trouble)
     send_foreign_heartbeat ();
 }
@@ -835,11 +1003,15 @@
       endpoint_tick (&endpoints[i], now_us);
   for (i = 0; i < FLOWS; i++)
     flow_tick (&flows[i], now_us);
+  if (step >= 10 && step < 100)
+    load_tick (now_us);
   switch (step)
     {
     case 0: /* the endpoints start, and the nodes within 0.3 s */
       for (i = 0; i < ENDPOINTS; i++)
         {
+          if (cold_case && i == COLD_ENDPOINT)
+            continue;
           endpoints[i].born_ms = g_get_real_time () / MS;
           endpoints[i].next_heartbeat_us = now_us + 250 * MS;
         }
@@ -851,7 +1023,8 @@
       for (i = 0; i < BALANCERS; i++)
         start_balancer (i);
       for (i = 0; i < ENDPOINTS; i++)
-        start_agent (i);
+        if (!cold_case || i != COLD_ENDPOINT)
+          start_agent (i);
       note ("%u balancers and %u agents started", BALANCERS, ENDPOINTS);
       step++;
       break;
@@ -862,6 +1035,11 @@
         if (!balancer_ready[i])
           could_not_run = TRUE;
       note ("traffic starts");
+      if (cold_case)
+        {
+          step = 10;
+          break;
+        }
       for (i = 0; i < FLOWS; i++)
         flow_open (&flows[i], i);
       step++;
@@ -887,6 +1065,47 @@
       step = 100;
       finish ();
       break;
+    case 10: /* the platform's store is down while an endpoint is added */
+      if (elapsed_us () < LEAD_US + ADDED_US - 500 * MS)
+        break;
+      if (trouble)
+        note ("the store is down (silent) for %d ms", STORE_DOWN_US / MS);
+      store_set_silent (trouble);
+      step++;
+      break;
+    case 11:
+      if (elapsed_us () < LEAD_US + ADDED_US)
+        break;
+      note ("%s and its node are added; it is cold for %d ms", endpoints[COLD_ENDPOINT].name,
+            COLD_START_MS);
+      endpoints[COLD_ENDPOINT].born_ms = g_get_real_time () / MS;
+      endpoints[COLD_ENDPOINT].next_heartbeat_us = now_us + 250 * MS;
+      start_agent (COLD_ENDPOINT);
+      step++;
+      break;
+    case 12:
+      if (elapsed_us () < LEAD_US + ADDED_US - 500 * MS + STORE_DOWN_US)
+        break;
+      store_set_silent (FALSE);
+      if (trouble)
+        note ("the store is back");
+      step++;
+      break;
+    case 13:
+      if (elapsed_us () < LEAD_US + LOAD_END_US + 2 * S)
+        break;
+      load_ended = TRUE;
+      cold_most = most_in_a_second ();
+      note ("load: %u flows, %u answered; the cold endpoint took %u flows, %u at most in one second "
+            "(FAILBACK allows %.0f)",
+            load_started, load_answered, openings->len, cold_most,
+            COLD_PER_S * COLD_OVERAGE + COLD_SLACK);
+      broken = cold_most > COLD_PER_S * COLD_OVERAGE + COLD_SLACK;
+      if (load_answered < load_started / 2)
+        could_not_run = TRUE;
+      step = 100;
+      g_main_loop_quit (loop);
+      break;
     default:
       break;
     }
@@ -929,6 +1148,9 @@
   if (argc != 6)
     return 2;
   move_route = strcmp (argv[1], "move-route") == 0;
+  cold_case = strcmp (argv[1], "cold-endpoint") == 0;
+  load = g_hash_table_new (NULL, NULL);
+  openings = g_array_new (FALSE, FALSE, sizeof (Opening));
   balancer_command = argv[2];
   agent_command = argv[3];
   folder = argv[4];
@@ -947,7 +1169,7 @@
       note ("the ports are in use");
       return 2;
     }
-  write_config (4, "sheets", 15000);
+  write_config (4, "sheets", IDLE_TIMEOUT_MS);
   g_timeout_add (2, tick, NULL);
   g_timeout_add (500, probe_readiness, NULL);
   g_unix_signal_add (SIGTERM, interrupted, NULL);
