Review case 4: cold endpoints of a zone that is taken back get more than they bear

Cause: an agent knows of the cold from the last heartbeat only, and opens the endpoint at the end of an evacuation with what that heartbeat said before it.

--- a/review/standins/store.c
+++ b/review/standins/store.c
@@ -6,7 +6,7 @@
 typedef struct
 {
   gchar *name;
-  gchar *spec;
+  gchar *spec; /* NULL: deleted; only watches tell of it */
   guint64 revision;
 } Object;
 
@@ -55,7 +55,7 @@
                           "{\"meta\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
                           ",\"created\":1,\"finalizers\":[],\"deleting\":false},\"spec\":%s,"
                           "\"status\":null}",
-                          object->name, object->revision, object->spec);
+                          object->name, object->revision, object->spec != NULL ? object->spec : "{}");
 }
 
 static void
@@ -80,10 +80,12 @@
     {
       const Object *object = value;
 
-      if (object->revision <= position)
+      if (object->revision <= position || (object->spec == NULL && !events))
         continue;
       g_string_append (text, count++ > 0 ? "," : "");
-      g_string_append (text, events ? "{\"deleted\":false,\"object\":" : "");
+      if (events)
+        g_string_append_printf (text, "{\"deleted\":%s,\"object\":",
+                                object->spec == NULL ? "true" : "false");
       append_object (text, object);
       g_string_append (text, events ? "}" : "");
     }
@@ -159,6 +161,16 @@
   return object->revision;
 }
 
+void
+store_delete (const gchar *kind, const gchar *name)
+{
+  Object *object;
+
+  (void) store_put (kind, name, "{}");
+  object = g_hash_table_lookup (objects_of (kind), name);
+  g_clear_pointer (&object->spec, g_free);
+}
+
 /* The bodies come from the programs under test, whose layout is known:
  * {"meta":{"name":"N","revision":R},"spec":S} */
 static void
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -12,3 +12,6 @@
 
 /* Writes an object as the operator does. Return: its revision */
 guint64 store_put (const gchar *kind, const gchar *name, const gchar *spec);
+
+/* Deletes an object as the operator does. */
+void store_delete (const gchar *kind, const gchar *name);
--- a/review/standins/world.c
+++ b/review/standins/world.c
@@ -4,7 +4,7 @@
  * the disruption of the case about and checks the rules FLOW and FAILBACK as RULES.md words them.
  *
  * Usage: world CASE BALANCER-COMMAND AGENT-COMMAND FOLDER RECORD, with CASE "move-route",
- * "foreign-heartbeat" or "cold-endpoint"; TROUBLE=0 in the environment leaves the disruption out.
+ * "foreign-heartbeat", "cold-endpoint" or "returning-zone"; TROUBLE=0 in the environment leaves the disruption out.
  *
  * Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
  */
@@ -45,6 +45,7 @@
 #define CONFIG_PROPAGATION_US (3000 * MS)
 #define DEADLINE_US (8 * S)
 #define WORK_US (30 * MS)
+#define LONG_WORK_US (300 * MS) /* less than the longest work of the small sites, 350 ms */
 #define IDLE_TIMEOUT_MS 15000
 
 /* The case of the cold endpoint: bounds and times of the sites that have cold endpoints. */
@@ -58,6 +59,13 @@
 #define ADDED_US (2 * S)        /* after the begin of the traffic */
 #define STORE_DOWN_US (4500 * MS) /* from half a second before */
 #define LOAD_PORT 10000
+
+/* The case of the returning zone. */
+#define ZONE 1                    /* index of the zone that is evacuated */
+#define EVACUATED_US (1 * S)      /* after the begin of the traffic */
+#define EVACUATION_US (8 * S)     /* until it is taken back */
+#define COLD_BEFORE_US (300 * MS) /* its endpoints become cold this long before that */
+#define RETURN_LOAD_END_US (12 * S)
 #define BODY_BYTES 12000
 /* A reset counts when its seq is this close to the last acknowledgment of the client. */
 #define RESET_WINDOW 76800
@@ -134,6 +142,7 @@
 /* An opening packet that the cold endpoint took. */
 typedef struct
 {
+  const Endpoint *endpoint;
   gint64 sent_us, arrived_us;
 } Opening;
 
@@ -153,7 +162,8 @@
 static guint32 client_address, route_address;
 static gchar *client_ip;
 static gboolean trouble;
-static gboolean move_route, cold_case;
+static gboolean move_route, cold_case, return_case;
+static gint64 cold_since_us; /* 0: the endpoints of the zone are not cold */
 static GHashTable *load; /* port to Flow */
 static guint load_started, load_answered, load_ended;
 static gint64 next_load_us;
@@ -283,6 +293,11 @@
 static gint64
 cold_left_ms (const Endpoint *endpoint)
 {
+  if (return_case)
+    return cold_since_us != 0 && strcmp (endpoint->service, "desk") == 0 &&
+                   (endpoint - endpoints) % 3 == ZONE
+               ? MAX (0, cold_since_us / MS + COLD_START_MS - g_get_monotonic_time () / MS)
+               : 0;
   return cold_case && endpoint == &endpoints[COLD_ENDPOINT]
              ? MAX (0, endpoint->born_ms + COLD_START_MS - g_get_real_time () / MS)
              : 0;
@@ -293,7 +308,7 @@
 count_opening (const Endpoint *endpoint, guint16 port)
 {
   const Flow *flow = flow_of (port);
-  Opening opening = { .arrived_us = g_get_monotonic_time () };
+  Opening opening = { .endpoint = endpoint, .arrived_us = g_get_monotonic_time () };
 
   if (cold_left_ms (endpoint) == 0 || flow == NULL)
     return;
@@ -303,7 +318,7 @@
         (gint) ((opening.arrived_us - opening.sent_us) / MS), (gint) cold_left_ms (endpoint));
 }
 
-/* The most requests that were sent and arrived inside one second. */
+/* The most requests for one endpoint that were sent and arrived inside one second. */
 static guint
 most_in_a_second (void)
 {
@@ -311,6 +326,7 @@
 
   for (i = 0; i < openings->len; i++)
     {
+      const Endpoint *endpoint = g_array_index (openings, Opening, i).endpoint;
       gint64 begin = g_array_index (openings, Opening, i).sent_us;
       guint count = 0;
 
@@ -318,7 +334,8 @@
         {
           const Opening *opening = &g_array_index (openings, Opening, j);
 
-          count += opening->sent_us >= begin && opening->arrived_us < begin + S;
+          count += opening->endpoint == endpoint && opening->sent_us >= begin &&
+                   opening->arrived_us < begin + S;
         }
       most = MAX (most, count);
     }
@@ -371,7 +388,7 @@
   g_strlcpy (held->request, id_at + 12, sizeof held->request);
   held->request[strcspn (held->request, "\r")] = '\0';
   g_byte_array_remove_range (held->end.in, 0, (guint) total);
-  held->respond_us = g_get_monotonic_time () + WORK_US;
+  held->respond_us = g_get_monotonic_time () + (move_route || cold_case ? WORK_US : LONG_WORK_US);
   if (!cold_case)
     note ("%s runs request %s", held->endpoint->name, held->request);
 }
@@ -476,6 +493,9 @@
           endpoint->born_ms);
 
       endpoint->next_heartbeat_us = now_us + HEARTBEAT_US;
+      if (return_case && cold_since_us != 0 && (endpoint - endpoints) % 3 == ZONE)
+        note ("%s sends a heartbeat, cold for %d ms more", endpoint->name,
+              (gint) cold_left_ms (endpoint));
       put_heartbeat (endpoint, endpoint->identifier, text, NULL);
     }
   g_hash_table_iter_init (&iter, endpoint->flows);
@@ -737,7 +757,7 @@
 
   if (next_load_us == 0)
     next_load_us = now_us;
-  for (; next_load_us <= now_us && now_us < begin_us + LEAD_US + LOAD_END_US;
+  for (; next_load_us <= now_us && now_us < begin_us + LEAD_US + (return_case ? RETURN_LOAD_END_US : LOAD_END_US);
        next_load_us += S / LOAD_PER_S)
     load_begin ();
   g_hash_table_iter_init (&iter, load);
@@ -969,6 +989,17 @@
     send_foreign_heartbeat ();
 }
 
+static void
+send_next_requests (void)
+{
+  guint i;
+
+  note ("the clients send their next requests on the open flows");
+  for (i = 0; i < FLOWS; i++)
+    if (flows[i].open && !flows[i].reset)
+      flow_request (&flows[i]);
+}
+
 static void
 finish (void)
 {
@@ -1010,10 +1041,10 @@
     case 0: /* the endpoints start, and the nodes within 0.3 s */
       for (i = 0; i < ENDPOINTS; i++)
         {
-          if (cold_case && i == COLD_ENDPOINT)
+          if (cold_case && !return_case && i == COLD_ENDPOINT)
             continue;
           endpoints[i].born_ms = g_get_real_time () / MS;
-          endpoints[i].next_heartbeat_us = now_us + 250 * MS;
+          endpoints[i].next_heartbeat_us = now_us + 250 * MS + i * HEARTBEAT_US / ENDPOINTS;
         }
       step++;
       break;
@@ -1023,7 +1054,7 @@
       for (i = 0; i < BALANCERS; i++)
         start_balancer (i);
       for (i = 0; i < ENDPOINTS; i++)
-        if (!cold_case || i != COLD_ENDPOINT)
+        if (!cold_case || return_case || i != COLD_ENDPOINT)
           start_agent (i);
       note ("%u balancers and %u agents started", BALANCERS, ENDPOINTS);
       step++;
@@ -1037,7 +1068,7 @@
       note ("traffic starts");
       if (cold_case)
         {
-          step = 10;
+          step = return_case ? 20 : 10;
           break;
         }
       for (i = 0; i < FLOWS; i++)
@@ -1047,19 +1078,25 @@
     case 3: /* the flows are idle for some seconds, less than idle_timeout_ms */
       if (elapsed_us () < LEAD_US + 3 * S)
         break;
+      if (move_route)
+        bring_trouble ();
+      step = move_route ? 5 : 4;
+      if (!move_route)
+        send_next_requests ();
+      break;
+    case 4: /* the endpoints are at work */
+      if (elapsed_us () < LEAD_US + 3 * S + 100 * MS)
+        break;
       bring_trouble ();
-      step++;
+      step = 6;
       break;
-    case 4:
+    case 5:
       if (elapsed_us () < LEAD_US + 3 * S + CONFIG_PROPAGATION_US + 500 * MS)
         break;
-      note ("the clients send their next requests on the open flows");
-      for (i = 0; i < FLOWS; i++)
-        if (flows[i].open && !flows[i].reset)
-          flow_request (&flows[i]);
+      send_next_requests ();
       step++;
       break;
-    case 5:
+    case 6:
       if (elapsed_us () < LEAD_US + 7 * S + DEADLINE_US)
         break;
       step = 100;
@@ -1091,13 +1128,48 @@
         note ("the store is back");
       step++;
       break;
+    case 20: /* the operator evacuates a zone and takes it back */
+      if (elapsed_us () < LEAD_US + EVACUATED_US)
+        break;
+      if (trouble)
+        {
+          g_autofree gchar *zone = g_strdup_printf ("z%u", ZONE);
+
+          (void) store_put ("evacuations", zone, "{}");
+          note ("operator: evacuation of %s acknowledged", zone);
+        }
+      step++;
+      break;
+    case 21:
+      if (elapsed_us () < LEAD_US + EVACUATED_US + EVACUATION_US - COLD_BEFORE_US)
+        break;
+      if (trouble)
+        {
+          cold_since_us = now_us;
+          note ("the endpoints of the zone become cold for %d ms", COLD_START_MS);
+        }
+      step++;
+      break;
+    case 22:
+      if (elapsed_us () < LEAD_US + EVACUATED_US + EVACUATION_US)
+        break;
+      if (trouble)
+        {
+          g_autofree gchar *zone = g_strdup_printf ("z%u", ZONE);
+
+          store_delete ("evacuations", zone);
+          note ("operator: evacuation of %s taken back", zone);
+        }
+      step++;
+      break;
     case 13:
-      if (elapsed_us () < LEAD_US + LOAD_END_US + 2 * S)
+    case 23:
+      if (elapsed_us () < LEAD_US + (return_case ? RETURN_LOAD_END_US : LOAD_END_US) + 2 * S)
         break;
       load_ended = TRUE;
       cold_most = most_in_a_second ();
-      note ("load: %u flows, %u answered; the cold endpoint took %u flows, %u at most in one second "
-            "(FAILBACK allows %.0f)",
+      note ("load: %u flows, %u answered; cold endpoints took %u flows, one of them %u at most in one "
+            "second (FAILBACK allows %.0f)",
             load_started, load_answered, openings->len, cold_most,
             COLD_PER_S * COLD_OVERAGE + COLD_SLACK);
       broken = cold_most > COLD_PER_S * COLD_OVERAGE + COLD_SLACK;
@@ -1148,7 +1220,8 @@
   if (argc != 6)
     return 2;
   move_route = strcmp (argv[1], "move-route") == 0;
-  cold_case = strcmp (argv[1], "cold-endpoint") == 0;
+  return_case = strcmp (argv[1], "returning-zone") == 0;
+  cold_case = return_case || strcmp (argv[1], "cold-endpoint") == 0;
   load = g_hash_table_new (NULL, NULL);
   openings = g_array_new (FALSE, FALSE, sizeof (Opening));
   balancer_command = argv[2];
