Ignore announcements that are not from the backend server

What callers saw: one announcement of another writer, with an address that is a number and without zone, version and start time, reset all open flows of a server that ran.

Cause: two checks were missing. The decoder read only the members that the agent uses, and took a missing start time for one that the platform does not give. And an announcement with another name and without a start time counted as one of a newer process, although the present process had given its start time; the agent then ended the flows of the present one. Under the same name it set the state and the sequence.

Evidence: on each agent server_changed names the other writer, and in the same millisecond each open flow has a flow_lost with the reason "its server has ended". No presence_changed: the state of the process did not change.

Why this works: the schema of a platform says which members an announcement must have, and the adapter asks for all of them; another writer's announcement is refused with status 400 before it reaches the agent's state, also when the agent has just started. On platforms on which the start is optional, an announcement without it cannot replace or change a process that gives one; it counts only when no server is present and another one follows at the interval of a running process.

--- a/daemon/wd-request.c
+++ b/daemon/wd-request.c
@@ -24,17 +24,41 @@
 };
 
 static gint64
-read_integer (
-    WcReader *reader, const WcValue *body, const gchar *key, gint64 maximum, gboolean required)
+read_integer (WcReader *reader,
+              const WcValue *body,
+              const gchar *key,
+              gint64 minimum,
+              gint64 maximum,
+              gboolean required)
 {
   gint64 value = 0;
 
   if (required && wc_value_find (body, key) == NULL)
     wc_reader_add_error (reader, body, key, WC_ERROR_MISSING, "missing");
-  wc_reader_integer (reader, body, key, 0, maximum, &value);
+  wc_reader_integer (reader, body, key, minimum, maximum, &value);
   return value;
 }
 
+/* A start time of 0 stands for a missing one, which not every schema allows. */
+static gint64
+read_started (const WdRequestSchema *schema,
+              WcReader *reader,
+              const WcValue *body,
+              gboolean required)
+{
+  return read_integer (reader, body, schema->started, schema->complete ? 1 : 0, G_MAXINT64,
+                       required);
+}
+
+static void
+check_strings (const WdRequestSchema *schema, WcReader *reader, const WcValue *body)
+{
+  guint i;
+
+  for (i = 0; schema->strings != NULL && schema->strings[i] != NULL; i++)
+    (void) wc_reader_string (reader, body, schema->strings[i], TRUE);
+}
+
 static gboolean
 decode_announcement (const WdRequestSchema *schema,
                      const WcValue *body,
@@ -52,11 +76,12 @@
   announcement->service_id = service != NULL ? wb_name_id (service) : 0;
   announcement->draining = wc_reader_choice (&reader, body, schema->state, states, 0) == 1;
   announcement->sequence =
-      (guint64) read_integer (&reader, body, schema->sequence, G_MAXINT64, TRUE);
-  announcement->started_ms = read_integer (&reader, body, schema->started, G_MAXINT64, FALSE);
-  announcement->slots = (guint) read_integer (&reader, body, schema->slots, SLOTS_MAX, TRUE);
+      (guint64) read_integer (&reader, body, schema->sequence, 0, G_MAXINT64, TRUE);
+  announcement->started_ms = read_started (schema, &reader, body, schema->complete);
+  announcement->slots = (guint) read_integer (&reader, body, schema->slots, 0, SLOTS_MAX, TRUE);
   announcement->cold_us =
-      read_integer (&reader, body, schema->cold, COLD_MAX_MS, FALSE) * WB_US_PER_MS;
+      read_integer (&reader, body, schema->cold, 0, COLD_MAX_MS, schema->complete) * WB_US_PER_MS;
+  check_strings (schema, &reader, body);
   ok = wc_reader_finish (&reader, error);
   wc_reader_clear (&reader);
   return ok;
@@ -75,7 +100,7 @@
   if (body == NULL)
     return TRUE;
   wc_reader_init (&reader);
-  announcement->started_ms = read_integer (&reader, body, schema->started, G_MAXINT64, FALSE);
+  announcement->started_ms = read_started (schema, &reader, body, FALSE);
   ok = wc_reader_finish (&reader, error);
   wc_reader_clear (&reader);
   return ok;
--- a/daemon/wd-request.h
+++ b/daemon/wd-request.h
@@ -34,6 +34,10 @@
  *   process; PUT announces, DELETE withdraws
  * @service, @started, @sequence, @state, @slots, @cold: keys of the JSON body of an announcement
  * @ready, @draining: values of @state
+ * @complete: whether an announcement must have @started and @cold too. Where every server sends
+ *   them, one without is not from a server.
+ * @strings: further keys that an announcement must have, with strings as values; NULL-terminated,
+ *   or NULL. Their values are not used.
  */
 typedef struct
 {
@@ -48,6 +52,8 @@
   const gchar *cold;
   const gchar *ready;
   const gchar *draining;
+  gboolean complete;
+  const gchar *const *strings;
 } WdRequestSchema;
 
 /** wd_request_schema_native - the requests that this project defines */
--- a/flow/wf-server.c
+++ b/flow/wf-server.c
@@ -81,10 +81,13 @@
 
 /* Returns whether an announcement is of a newer process (1), the same one (0) or an earlier one
  * (-1). The start time decides, because a new process may use the old name. Without it another name
- * is a new process. */
+ * is a new process, unless the present one has given its start time: whoever sends an announcement
+ * without it cannot show that this process has ended. */
 static gint
 compare_process (const WfServer *server, const gchar *name, gint64 started_ms)
 {
+  if (started_ms == 0 && server->started_ms != 0)
+    return -1;
   if (started_ms != 0 && server->started_ms != 0 && started_ms != server->started_ms)
     return started_ms > server->started_ms ? 1 : -1;
   return strcmp (name, server->name) == 0 ? 0 : 1;
--- a/flow/wf-server.h
+++ b/flow/wf-server.h
@@ -69,9 +69,9 @@
 /**
  * wf_server_announce() - handles an announcement
  *
- * An announcement that looks out of date counts only while no server is present, and only if
- * another one follows at the interval of a running process. A process that has withdrawn does not
- * come back.
+ * An announcement that looks out of date, or lacks the start time that the present process gives,
+ * counts only while no server is present, and only if another one follows at the interval of a
+ * running process. A process that has withdrawn does not come back.
  */
 WfAnnouncementResult
 wf_server_announce (WfServer *server, const WfAnnouncement *announcement, gint64 now_us);
--- a/soak/sk-server.c
+++ b/soak/sk-server.c
@@ -7,6 +7,10 @@
 
 #define SLOTS 4
 #define ANNOUNCEMENT_INTERVAL_US (300 * WB_US_PER_MS)
+
+/* Announcements of a server between two that are not from it. */
+#define FOREIGN_INTERVAL 5
+
 #define SERVICE_TIME_US (15 * WB_US_PER_MS)
 
 /* The users require that a server gets no new flow later than this after the acknowledgment of its
@@ -183,24 +187,64 @@
     server->drain_acknowledged_us = g_get_monotonic_time ();
 }
 
+/* Response to an announcement that is not from the server; the status does not matter. */
 static void
-send_announcement (Server *server)
+foreign_announcement_finished (GObject *source, GAsyncResult *result, gpointer data)
+{
+  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+}
+
+static void
+put_announcement (Server *server,
+                  const gchar *name,
+                  const gchar *text,
+                  GAsyncReadyCallback finished)
 {
   g_autofree gchar *host = ww_ipv4_format (SK_AGENT_ADDRESS + server->index);
-  g_autofree gchar *url =
-      g_strdup_printf ("http://%s:%u/v1/instances/server-%u-%u", host,
-                       sk_port_number (SK_PORT_ANNOUNCEMENTS), server->index, server->generation);
-  g_autofree gchar *text = g_strdup_printf (
-      "{\"service\":\"service-%u\",\"slots\":%u,\"state\":\"%s\",\"cold_remaining_ms\":0,"
-      "\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT "}",
-      server->index % SK_SERVICE_COUNT, SLOTS, server->draining ? "draining" : "ready",
-      ++server->announcement_sequence, server->started_ms);
+  g_autofree gchar *url = g_strdup_printf ("http://%s:%u/v1/instances/%s", host,
+                                           sk_port_number (SK_PORT_ANNOUNCEMENTS), name);
   g_autoptr (SoupMessage) message = soup_message_new ("PUT", url);
   g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
 
   soup_message_set_request_body_from_bytes (message, "application/json", body);
-  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL,
-                                    announcement_finished, server);
+  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL, finished, server);
+}
+
+static void
+send_announcement (Server *server)
+{
+  g_autofree gchar *name = g_strdup_printf ("server-%u-%u", server->index, server->generation);
+  g_autofree gchar *text = g_strdup_printf (
+      "{\"service\":\"service-%u\",\"address\":\"server-%u\",\"zone\":\"z\",\"version\":\"v1\","
+      "\"slots\":%u,\"state\":\"%s\",\"cold_remaining_ms\":0,"
+      "\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT "}",
+      server->index % SK_SERVICE_COUNT, server->index, SLOTS,
+      server->draining ? "draining" : "ready", ++server->announcement_sequence, server->started_ms);
+
+  put_announcement (server, name, text, announcement_finished);
+}
+
+/* Sends an announcement of another writer, with members missing or of another type, under the name
+ * of the server's process or another one. */
+static void
+send_foreign_announcement (Server *server)
+{
+  static const gchar *const members[] = {
+    "\"address\":17,\"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":900000",
+    "\"address\":\"server\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,\"state\":\"draining\","
+    "\"cold_remaining_ms\":0,\"sequence\":900000",
+    "\"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":900000,"
+    "\"born\":4000000000000",
+  };
+  guint64 number = server->announcement_sequence / FOREIGN_INTERVAL;
+  g_autofree gchar *text =
+      g_strdup_printf ("{\"service\":\"service-%u\",%s}", server->index % SK_SERVICE_COUNT,
+                       members[number % G_N_ELEMENTS (members)]);
+  g_autofree gchar *name = number % 2 == 0
+                               ? g_strdup_printf ("server-%u-%u", server->index, server->generation)
+                               : g_strdup ("other");
+
+  put_announcement (server, name, text, foreign_announcement_finished);
 }
 
 void
@@ -286,6 +330,8 @@
         {
           server->last_announcement_us = now_us;
           send_announcement (server);
+          if (server->announcement_sequence % FOREIGN_INTERVAL == 0)
+            send_foreign_announcement (server);
         }
       g_hash_table_iter_init (&iter, server->flows);
       while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -513,6 +513,56 @@
   g_assert_false (decode_request ("PUT", "/v1/instances/i-7f", "\xff\xfe", &request));
 }
 
+/* Guards against an announcement of another writer that counts as one of the backend server: a
+ * field is missing, of another type or out of range, or the body cannot be read. */
+static void
+test_incomplete_announcements (void)
+{
+  static const struct
+  {
+    const gchar *name;
+    const gchar *value;
+  } fields[] = {
+    { "service", "\"huvo11a\"" },
+    { "address", "\"10.128.0.9:8080\"" },
+    { "zone", "\"nb-a\"" },
+    { "version", "\"v1\"" },
+    { "slots", "7" },
+    { "state", "\"ready\"" },
+    { "cold_remaining_ms", "0" },
+    { "sequence", "4" },
+    { "born", "1700" },
+  };
+  static const gchar *const wrong_values[] = { NULL, "null", "true", "-1", "1.5",
+                                               "[]", "[7]",  "{}",   "1e9" };
+  static const gchar *const bodies[] = { "", "[]", "7", "null", "{", "{}", "\xff\xfe" };
+  guint field, wrong, i;
+
+  for (field = 0; field < G_N_ELEMENTS (fields); field++)
+    for (wrong = 0; wrong <= G_N_ELEMENTS (wrong_values); wrong++)
+      {
+        gboolean is_string = fields[field].value[0] == '"';
+        const gchar *other_type = is_string ? "17" : "\"17\"";
+        const gchar *value = wrong < G_N_ELEMENTS (wrong_values) ? wrong_values[wrong] : other_type;
+        g_autoptr (GString) text = g_string_new ("{\"later_field\":1");
+        g_auto (WdRequest) request = { 0 };
+
+        for (i = 0; i < G_N_ELEMENTS (fields); i++)
+          if (i != field || value != NULL)
+            g_string_append_printf (text, ",\"%s\":%s", fields[i].name,
+                                    i == field ? value : fields[i].value);
+        g_string_append_c (text, '}');
+        g_test_message ("%s", text->str);
+        g_assert_false (decode_request ("PUT", "/v1/instances/i-0f", text->str, &request));
+      }
+  for (i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      g_auto (WdRequest) request = { 0 };
+
+      g_assert_false (decode_request ("PUT", "/v1/instances/i-0f", bodies[i], &request));
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -532,5 +582,6 @@
   g_test_add_func ("/platform/config-cold-rate", test_config_cold_rate);
   g_test_add_func ("/platform/config-history", test_config_history);
   g_test_add_func ("/platform/requests", test_daemon_requests);
+  g_test_add_func ("/platform/announcements-incomplete", test_incomplete_announcements);
   return g_test_run ();
 }
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -143,6 +143,33 @@
   g_assert_cmpint (wf_server_started_us (server), ==, 8 * ANNOUNCEMENT_INTERVAL_US);
 }
 
+/* Guards against an announcement without a start time that replaces a process which gives its own,
+ * or changes its state: the agent would reset the open flows of a server that runs. */
+static void
+test_no_start_time (void)
+{
+  g_autoptr (WfServer) server = wf_server_new (SERVICE_ID, ANNOUNCEMENT_INTERVAL_US);
+  gint64 now_us;
+
+  announce (server, "a", 100, 5, FALSE, 0);
+  g_assert_cmpint (announce (server, "b", 0, 1, FALSE, 10), ==, WF_ANNOUNCEMENT_STALE);
+  g_assert_cmpint (announce (server, "b", 0, 2, FALSE, ANNOUNCEMENT_INTERVAL_US), ==,
+                   WF_ANNOUNCEMENT_STALE);
+  g_assert_cmpint (announce (server, "a", 0, 90, TRUE, ANNOUNCEMENT_INTERVAL_US), ==,
+                   WF_ANNOUNCEMENT_STALE);
+  g_assert_cmpstr (wf_server_name (server), ==, "a");
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_READY);
+  g_assert_cmpint (announce (server, "a", 100, 6, FALSE, ANNOUNCEMENT_INTERVAL_US + 10), ==,
+                   WF_ANNOUNCEMENT_UNCHANGED);
+
+  /* Once the server is absent, the announcements of a running process count. */
+  now_us = wf_server_next_us (server);
+  g_assert_true (wf_server_tick (server, now_us));
+  g_assert_cmpint (announce (server, "b", 0, 8, FALSE, now_us), ==, WF_ANNOUNCEMENT_STALE);
+  g_assert_cmpint (announce (server, "b", 0, 9, FALSE, now_us + ANNOUNCEMENT_INTERVAL_US), ==,
+                   WF_ANNOUNCEMENT_NEW_PROCESS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -154,5 +181,6 @@
   g_test_add_func ("/server/late-after-withdrawal", test_late_after_withdrawal);
   g_test_add_func ("/server/numbers-start-again", test_numbers_start_again);
   g_test_add_func ("/server/clock-set-back", test_clock_set_back);
+  g_test_add_func ("/server/no-start-time", test_no_start_time);
   return g_test_run ();
 }
