Take a server back whose earlier process is withdrawn late

What callers would see: the endpoint of a server that runs leaves the members for good, and packets of its open flows find no holder.

On the users' platform a withdrawal has no body, so it is matched by name alone. One that comes late, after the server has started again under its name, withdrew the new process, and its announcements were acknowledged and ignored from then on.

Why this works: a server announces that it drains before it ends. Without that, a withdrawal without a start time only makes it take no new flows until its next announcement, which shows that it runs; if none comes, it is absent as after a crash. One that drains is absent at once as before, but is taken back, without the loss of its flows, when announcements with later numbers follow at its interval.

Test: /server/late-withdrawal failed before (the server was absent); /server/withdrawal-without-drain covers a server that has ended.

--- a/flow/wf-server.c
+++ b/flow/wf-server.c
@@ -30,9 +30,10 @@
   guint slots;
   gint64 cold_us;
   gint64 announced_us;
-  gint64 started_us;     /* estimate, see estimate_start() */
-  gboolean is_successor; /* another process has announced itself before */
-  gboolean withdrawn;    /* the process has reported its end */
+  gint64 started_us;              /* estimate, see estimate_start() */
+  gboolean is_successor;          /* another process has announced itself before */
+  gboolean withdrawn;             /* the process has reported its end */
+  gboolean withdrawn_for_certain; /* with its start time: the report cannot be an earlier one's */
   DoubtfulProcess doubtful;
 };
 
@@ -121,17 +122,22 @@
 replace_process (WfServer *server, const WfAnnouncement *announcement, gint64 now_us)
 {
   gboolean first = server->name == NULL;
+  gboolean same = !first && announcement->started_ms != 0 &&
+                  announcement->started_ms == server->started_ms &&
+                  strcmp (announcement->name, server->name) == 0;
 
-  server->started_us = estimate_start (server, announcement, now_us);
-
-  g_free (server->name);
   g_clear_pointer (&server->doubtful.name, g_free);
-  server->name = g_strdup (announcement->name);
-  server->started_ms = announcement->started_ms;
-  server->is_successor = !first;
-  server->withdrawn = FALSE;
+  server->withdrawn = server->withdrawn_for_certain = FALSE;
+  if (!same)
+    {
+      server->started_us = estimate_start (server, announcement, now_us);
+      g_free (server->name);
+      server->name = g_strdup (announcement->name);
+      server->started_ms = announcement->started_ms;
+      server->is_successor = !first;
+    }
   apply_announcement (server, announcement, now_us);
-  return first ? WF_ANNOUNCEMENT_CHANGED : WF_ANNOUNCEMENT_NEW_PROCESS;
+  return first || same ? WF_ANNOUNCEMENT_CHANGED : WF_ANNOUNCEMENT_NEW_PROCESS;
 }
 
 /* Whether a process whose announcements look out of date runs nevertheless: its numbers have
@@ -158,12 +164,14 @@
 }
 
 /* A process that has reported its end is known by its start time; without one its name may be in
- * use again. */
+ * use again. After a report without a start time, which may be a late one of an earlier process,
+ * only announcements that are older than the last one are out of the question. */
 static gboolean
 has_reported_end (const WfServer *server, const WfAnnouncement *announcement)
 {
   return server->withdrawn && announcement->started_ms != 0 &&
-         announcement->started_ms == server->started_ms;
+         announcement->started_ms == server->started_ms &&
+         (server->withdrawn_for_certain || announcement->sequence <= server->sequence);
 }
 
 static WfAnnouncementResult
@@ -205,8 +213,16 @@
     return FALSE;
   if (started_ms != 0 && started_ms != server->started_ms)
     return FALSE;
+  /* A process announces that it drains before it ends. Without that, the report is probably a late
+   * one of an earlier process with this name: the next announcement shows it. */
+  if (started_ms == 0 && server->started_ms != 0 && server->state == WF_SERVER_READY)
+    {
+      server->state = WF_SERVER_DRAINING;
+      return TRUE;
+    }
   server->state = WF_SERVER_ABSENT;
   server->withdrawn = TRUE;
+  server->withdrawn_for_certain = started_ms != 0;
   return TRUE;
 }
 
--- a/flow/wf-server.h
+++ b/flow/wf-server.h
@@ -71,7 +71,7 @@
  *
  * An announcement that looks out of date, or lacks the start time that the present process gives,
  * counts only while no server is present, and only if another one follows at the interval of a
- * running process. A process that has withdrawn does not come back.
+ * running process. A process that has withdrawn with its start time does not come back.
  */
 WfAnnouncementResult
 wf_server_announce (WfServer *server, const WfAnnouncement *announcement, gint64 now_us);
@@ -80,7 +80,11 @@
  * wf_server_withdraw() - handles the report of a process that it has ended
  * @started_ms: as in its announcements; 0 when not given
  *
- * Return: whether it is the process that announced itself last; the server is then absent
+ * Without a start time the report may be a late one of an earlier process with the same name. It
+ * then makes a server that gives its start time and has not announced that it drains leave only
+ * until its next announcement.
+ *
+ * Return: whether the state has changed
  */
 gboolean wf_server_withdraw (WfServer *server, const gchar *name, gint64 started_ms);
 
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -170,6 +170,54 @@
                    WF_ANNOUNCEMENT_NEW_PROCESS);
 }
 
+/* Guards against a late withdrawal of an earlier process that makes the agent ignore its successor,
+ * which has the same name, for good: the withdrawal has no start time. */
+static void
+test_late_withdrawal (void)
+{
+  g_autoptr (WfServer) server = wf_server_new (SERVICE_ID, ANNOUNCEMENT_INTERVAL_US);
+  gint64 now_us = 3 * ANNOUNCEMENT_INTERVAL_US;
+
+  announce (server, "a", 100, 9, TRUE, 0);
+  announce (server, "a", 200, 1, FALSE, ANNOUNCEMENT_INTERVAL_US);
+  g_assert_true (wf_server_withdraw (server, "a", 0));
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_DRAINING);
+  g_assert_false (wf_server_withdrawn (server));
+  g_assert_cmpint (announce (server, "a", 200, 2, FALSE, 2 * ANNOUNCEMENT_INTERVAL_US), ==,
+                   WF_ANNOUNCEMENT_CHANGED);
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_READY);
+
+  /* One that drains is absent at once, but comes back, without the loss of its flows, if it goes on
+   * announcing itself. */
+  announce (server, "a", 200, 3, TRUE, now_us);
+  g_assert_true (wf_server_withdraw (server, "a", 0));
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_ABSENT);
+  g_assert_cmpint (announce (server, "a", 200, 2, FALSE, now_us + 1), ==, WF_ANNOUNCEMENT_STALE);
+  g_assert_cmpint (announce (server, "a", 200, 4, TRUE, now_us + 2), ==, WF_ANNOUNCEMENT_STALE);
+  g_assert_cmpint (announce (server, "a", 200, 5, TRUE, now_us + ANNOUNCEMENT_INTERVAL_US), ==,
+                   WF_ANNOUNCEMENT_CHANGED);
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_DRAINING);
+}
+
+/* Guards against a server that stays ready although it has ended without announcing that it drains.
+ */
+static void
+test_withdrawal_without_drain (void)
+{
+  g_autoptr (WfServer) server = wf_server_new (SERVICE_ID, ANNOUNCEMENT_INTERVAL_US);
+
+  announce (server, "a", 100, 1, FALSE, 0);
+  g_assert_true (wf_server_withdraw (server, "a", 0));
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_DRAINING);
+  g_assert_true (wf_server_tick (server, wf_server_next_us (server)));
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_ABSENT);
+
+  /* On a platform without start times, and with the process's own one, it is absent at once. */
+  announce (server, "b", 200, 1, FALSE, 10 * ANNOUNCEMENT_INTERVAL_US);
+  g_assert_true (wf_server_withdraw (server, "b", 200));
+  g_assert_cmpint (wf_server_state (server), ==, WF_SERVER_ABSENT);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -182,5 +230,7 @@
   g_test_add_func ("/server/numbers-start-again", test_numbers_start_again);
   g_test_add_func ("/server/clock-set-back", test_clock_set_back);
   g_test_add_func ("/server/no-start-time", test_no_start_time);
+  g_test_add_func ("/server/late-withdrawal", test_late_withdrawal);
+  g_test_add_func ("/server/withdrawal-without-drain", test_withdrawal_without_drain);
   return g_test_run ();
 }
