--- a/tests/test-daemon.c
+++ b/tests/test-daemon.c
@@ -1,7 +1,11 @@
+#include "wd-http.h"
 #include "wd-reply.h"
 
+#include <gio/gio.h>
 #include <string.h>
 
+#define SILENT_CONNECTIONS 8
+
 /* Reads one page of metrics as the operator command does and appends it to @read_text. Returns the
  * length of all pages. */
 static guint
@@ -80,6 +84,70 @@
   g_assert_null (wd_reply_metrics (snapshots, 1, body, sizeof body, text));
 }
 
+static void
+respond_ok (gpointer context,
+            const gchar *method,
+            const gchar *path,
+            GBytes *body,
+            WdHttpResponse *response)
+{
+  response->status = 200;
+}
+
+static GSocketConnection *
+connect_and_send (const WcAddress *address, const gchar *text)
+{
+  g_autoptr (GSocketClient) client = g_socket_client_new ();
+  g_autoptr (GError) error = NULL;
+  GSocketConnection *connection =
+      g_socket_client_connect_to_host (client, "127.0.0.1", address->port, NULL, &error);
+
+  g_assert_no_error (error);
+  g_assert_true (
+      g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (connection)), text,
+                                 strlen (text), NULL, NULL, NULL));
+  return connection;
+}
+
+static void
+response_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  g_assert_cmpint (g_input_stream_read_finish (G_INPUT_STREAM (source), result, NULL), >, 0);
+  g_main_loop_quit (data);
+}
+
+/* Guards against a server process whose announcements get no response because earlier connections
+ * to the agent have become silent, in the middle of a request or between two. */
+static void
+test_silent_connections (void)
+{
+  static const gchar *const texts[] = { "", "PUT /servers/a HTT",
+                                        "PUT /servers/a HTTP/1.1\r\nHost: a\r\n"
+                                        "Content-Length: 100\r\n\r\n{",
+                                        "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n" };
+  g_autoptr (GPtrArray) silent = g_ptr_array_new_with_free_func (g_object_unref);
+  g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
+  g_autoptr (GSocketConnection) connection = NULL;
+  WdHttp *http = wd_http_new (respond_ok, NULL);
+  WcAddress address = { .address = 0x7f000001 };
+  gchar chunk[256];
+  guint i;
+
+  for (address.port = 28000; !wd_http_listen (http, &address, NULL); address.port++)
+    g_assert_cmpuint (address.port, <, 28100);
+  for (i = 0; i < SILENT_CONNECTIONS; i++)
+    {
+      g_ptr_array_add (silent, connect_and_send (&address, texts[i % G_N_ELEMENTS (texts)]));
+      while (g_main_context_iteration (NULL, FALSE))
+        ;
+    }
+  connection = connect_and_send (&address, texts[G_N_ELEMENTS (texts) - 1]);
+  g_input_stream_read_async (g_io_stream_get_input_stream (G_IO_STREAM (connection)), chunk,
+                             sizeof chunk, G_PRIORITY_DEFAULT, NULL, response_read, loop);
+  g_main_loop_run (loop);
+  wd_http_free (http);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -87,5 +155,6 @@
   g_test_add_func ("/daemon/metrics/pages", test_metrics_pages);
   g_test_add_func ("/daemon/metrics/offset", test_invalid_offset);
   g_test_add_func ("/daemon/metrics/malformed", test_malformed_call);
+  g_test_add_func ("/daemon/silent-connections", test_silent_connections);
   return g_test_run ();
 }
