Notice restarts of homes in another service after an unrelated configuration

What callers would see: a route has moved, another configuration follows, and the agent of a flow's home in the new service restarts: the flow is silent until its next refresh, up to 60 s.

Cause: each configuration emptied the list of other services whose endpoints are compared when the members change, and the list was filled again only by the next lookup of a home. A restart in between was not seen.

Why this works: only a configuration that moves routes empties the list, and registers all flows right after, which fills it again. The comparison of two endpoint lists is shared with the one of the own service.

--- a/flow/wf-agent.c
+++ b/flow/wf-agent.c
@@ -182,25 +182,6 @@
   wf_moved_config_changed (agent, n_moved_routes);
 }
 
-static gboolean
-same_endpoints (const GArray *a, const GArray *b)
-{
-  guint i;
-
-  if (a->len != b->len)
-    return FALSE;
-  for (i = 0; i < a->len; i++)
-    {
-      const WfEndpoint *left = &g_array_index (a, WfEndpoint, i);
-      const WfEndpoint *right = &g_array_index (b, WfEndpoint, i);
-
-      if (left->id != right->id || left->incarnation != right->incarnation ||
-          left->zone != right->zone)
-        return FALSE;
-    }
-  return TRUE;
-}
-
 static gint
 compare_endpoints (gconstpointer a, gconstpointer b)
 {
@@ -260,7 +241,7 @@
   set_admission_peers (agent);
   agent->endpoints_known = TRUE;
   previous_others = wf_moved_refresh (agent);
-  if (!same_endpoints (previous, agent->endpoints))
+  if (!wf_view_same_endpoints (previous, agent->endpoints))
     {
       agent->endpoints_changed_us = now_us;
       wf_view_update_departed (agent, previous);
--- a/flow/wf-moved.c
+++ b/flow/wf-moved.c
@@ -299,9 +299,9 @@
   guint flows = 0;
   const WfFlow *flow;
 
-  g_hash_table_remove_all (agent->other_services);
   if (n_routes == 0)
     return;
+  g_hash_table_remove_all (agent->other_services);
   wf_registration_endpoints_changed (agent, agent->endpoints, NULL);
   agent->moved_repeat_us = agent->now_us + REPEAT_AFTER_US;
   while ((flow = wf_table_next (agent->flows, &cursor, NULL)) != NULL)
@@ -311,25 +311,6 @@
                WB_NUMBER ("routes", n_routes), WB_NUMBER ("flows_of_other_services", flows));
 }
 
-static gboolean
-same_endpoints (const OtherService *a, const OtherService *b)
-{
-  guint i;
-
-  if (a->endpoints->len != b->endpoints->len)
-    return FALSE;
-  for (i = 0; i < a->endpoints->len; i++)
-    {
-      const WfEndpoint *left = &g_array_index (a->endpoints, WfEndpoint, i);
-      const WfEndpoint *right = &g_array_index (b->endpoints, WfEndpoint, i);
-
-      if (left->id != right->id || left->incarnation != right->incarnation ||
-          left->zone != right->zone)
-        return FALSE;
-    }
-  return TRUE;
-}
-
 /* Lists the endpoints of the other services again. Return: (nullable): the lists before, for
  * wf_moved_incarnation(), when one has changed */
 GHashTable *
@@ -346,8 +327,12 @@
   agent->other_services = wf_moved_new_services ();
   g_hash_table_iter_init (&iter, previous);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    if (!same_endpoints (value, add_service (agent, agent->other_services, *(guint64 *) key)))
-      changed = TRUE;
+    {
+      const OtherService *before = value;
+      const OtherService *now = add_service (agent, agent->other_services, *(const guint64 *) key);
+
+      changed = changed || !wf_view_same_endpoints (before->endpoints, now->endpoints);
+    }
   if (!changed)
     return NULL;
   agent->moved_repeat_us = agent->now_us + REPEAT_AFTER_US;
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -269,6 +269,7 @@
 gboolean wf_view_has_departed (const WfAgent *agent, guint64 endpoint_id);
 void wf_view_update_departed (WfAgent *agent, const GArray *previous);
 guint64 wf_view_next (WfAgent *agent, const WwFlowKey *key, guint32 entry_zone);
+gboolean wf_view_same_endpoints (const GArray *a, const GArray *b);
 guint64 wf_view_next_home (WfAgent *agent, const WwFlowKey *key, guint32 entry_zone);
 
 /* wf-route.c: routing of the packets that arrive from the network */
--- a/flow/wf-view.c
+++ b/flow/wf-view.c
@@ -142,3 +142,23 @@
       g_array_append_val (agent->departed_ids, id);
     }
 }
+
+/* Whether two lists of WfEndpoint have the same endpoints, in the same incarnations and zones. */
+gboolean
+wf_view_same_endpoints (const GArray *a, const GArray *b)
+{
+  guint i;
+
+  if (a->len != b->len)
+    return FALSE;
+  for (i = 0; i < a->len; i++)
+    {
+      const WfEndpoint *left = &g_array_index (a, WfEndpoint, i);
+      const WfEndpoint *right = &g_array_index (b, WfEndpoint, i);
+
+      if (left->id != right->id || left->incarnation != right->incarnation ||
+          left->zone != right->zone)
+        return FALSE;
+    }
+  return TRUE;
+}
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -25,6 +25,7 @@
   WITHOUT_NEW_SERVICE,
   WITH_MOVE_BACK,
   WITH_WEIGHTS,
+  WITH_LATER_RESTART, /* after another configuration, when no history is left */
 } Scenario;
 
 static void
@@ -54,7 +55,7 @@
         fs_publish_split (sim, 9, 1, 0);
       fs_run (sim, 20 * S);
       add_clients (sim, 12, 8, S);
-      add_clients (sim, 12, 3, 6 * S);
+      add_clients (sim, 12, scenario == WITH_LATER_RESTART ? 8 : 3, 6 * S);
       fs_run (sim, 1500 * WB_US_PER_MS);
       if (scenario == WITH_LATE_BALANCERS)
         sim->balancer_config_delay_us = 4 * S;
@@ -63,7 +64,13 @@
       else
         fs_publish_config (sim, "b", 8, 10 * S, scenario == WITH_LATE_AGENTS ? 5 * S : S / 10);
       fs_run (sim, 4 * S);
-      if (scenario == WITH_RESTART_IN_NEW_SERVICE)
+      if (scenario == WITH_LATER_RESTART)
+        {
+          fs_run (sim, 22 * S);
+          fs_publish_config (sim, "b", 8, 10 * S, S / 10);
+          fs_run (sim, S);
+        }
+      if (scenario == WITH_RESTART_IN_NEW_SERVICE || scenario == WITH_LATER_RESTART)
         fs_restart_agent (sim, b_begin);
       if (scenario == WITH_RESTART_IN_OLD_SERVICE)
         fs_restart_agent (sim, 0);
@@ -224,6 +231,7 @@
     { "/moved/sim-without-new-service", WITHOUT_NEW_SERVICE },
     { "/moved/sim-move-back", WITH_MOVE_BACK },
     { "/moved/sim-weights", WITH_WEIGHTS },
+    { "/moved/sim-later-restart", WITH_LATER_RESTART },
   };
   guint i;
 
