Compare the value of an object with its length in the test

The address sanitizer reports that test-platform reads beyond the value's bytes, which have no terminator. The comparison is as strict, and checks the length too.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -103,7 +103,9 @@
 test_object_responses (void)
 {
   g_autoptr (GError) error = NULL;
+  const gchar *value;
   WsObject object;
+  gsize length;
 
   g_assert_true (read_response (WS_CALL_GET,
                                 "{\"items\":[{\"meta\":{\"name\":\"main\",\"revision\":7},"
@@ -112,7 +114,8 @@
                                 &object, NULL));
   g_assert_cmpuint (object.version, ==, 7);
   g_assert_cmpuint (object.position, ==, 12);
-  g_assert_cmpstr (g_bytes_get_data (object.value, NULL), ==, "{\"version\":3}");
+  value = g_bytes_get_data (object.value, &length);
+  g_assert_cmpmem (value, length, "{\"version\":3}", strlen ("{\"version\":3}"));
   g_bytes_unref (object.value);
   g_assert_true (
       read_response (WS_CALL_WATCH, "{\"events\":[],\"store_revision\":15}", &object, NULL));
