--- a/tests/agent-fixture.c
+++ b/tests/agent-fixture.c
@@ -175,6 +175,7 @@
   service->slots = slots;
   service->reserve_short = 0;
   service->deadline_us = deadline_us;
+  g_free (service->refusal_text);
   service->refusal_text = g_strdup (refusal_text);
   wf_agent_set_config (fixture->agent, config, fixture->now_us);
   set_peer_and_settle (fixture, FALSE);
