Count misrouted packets of open flows only, as the rule does

The check counted packets of a flow that is not open, or whose own server or agent has just been disrupted. PROTOCOL: "A flow closes when both ends have sent a FIN."

A server silent in the simulation, and a paused agent, count as disrupted for 4 s afterwards (stability_window_ms); restarts, which are planned, do not. What is counted stays: packets at servers of another service, 3 or more in 2 s.

--- a/tests/flow-sim.c
+++ b/tests/flow-sim.c
@@ -12,6 +12,10 @@
 #define STRAYS_MIN 3
 #define STRAYS_TIME_US (2 * WB_US_PER_S)
 
+/* They do not count it for this time after an unplanned disruption of the flow's server or of the
+ * agent beside it. */
+#define STABILITY_TIME_US (4 * WB_US_PER_S)
+
 /* Longer than a packet takes along all endpoints, and shorter than a client takes to send it again.
  */
 #define CHAIN_TIME_US (100 * WB_US_PER_MS)
@@ -130,6 +134,22 @@
   return FALSE;
 }
 
+/* Whether the server has the end of the handshake of a flow that its two ends have not closed. */
+static gboolean
+has_open_flow (const FsAgent *agent, const WwFlowKey *key)
+{
+  const FsConnection *connection = g_hash_table_lookup (agent->connections, key);
+
+  return connection != NULL && connection->tcp->established && !connection->tcp->reset &&
+         !(connection->tcp->fin_received && connection->tcp->fin_queued);
+}
+
+static gboolean
+was_disrupted (const FsSim *sim, const FsAgent *agent)
+{
+  return sim->now_us < agent->disrupted_until_us + STABILITY_TIME_US;
+}
+
 /* Counts the packets of an open flow that reach servers of another service and then none of its
  * own. One packet may visit several servers, with probes, before it reaches its own. */
 static void
@@ -148,7 +168,7 @@
   for (i = 0; i < sim->n_agents && !is_open; i++)
     {
       if (sim->agents[i].service_id == agent->service_id ||
-          !g_hash_table_contains (sim->agents[i].connections, &key) ||
+          !has_open_flow (&sim->agents[i], &key) || was_disrupted (sim, &sim->agents[i]) ||
           (client->n_strays > 0 && sim->now_us - client->last_stray_us < CHAIN_TIME_US))
         continue;
       if (client->n_strays >= STRAYS_MIN && sim->now_us - client->first_stray_us >= STRAYS_TIME_US)
@@ -394,7 +414,10 @@
 void
 fs_pause_agent (FsSim *sim, guint index, gint64 duration_us)
 {
-  sim->agents[index].paused_until_us = sim->now_us + duration_us;
+  FsAgent *agent = &sim->agents[index];
+
+  agent->paused_until_us = sim->now_us + duration_us;
+  agent->disrupted_until_us = MAX (agent->disrupted_until_us, agent->paused_until_us);
 }
 
 void
@@ -403,6 +426,7 @@
   FsAgent *agent = &sim->agents[index];
 
   agent->silent_until_us = sim->now_us + duration_us;
+  agent->disrupted_until_us = MAX (agent->disrupted_until_us, agent->silent_until_us);
   agent->is_member = FALSE;
   wf_agent_set_server_state (agent->wf_agent, WF_SERVER_ABSENT, sim->now_us);
   fs_publish_members (sim, PUBLICATION_DELAY_US);
--- a/tests/flow-sim.h
+++ b/tests/flow-sim.h
@@ -46,6 +46,7 @@
   gboolean knows_evacuated;    /* the agent has a member list with its own evacuation */
   gboolean server_output_lost; /* the server's packets are lost */
   gint64 paused_until_us;
+  gint64 disrupted_until_us;  /* end of the latest pause or silence */
   gint64 silent_until_us;     /* the server's announcements stop until then; 0 when they do not */
   guint64 member_list_number; /* event number of the newest member list applied */
   GBytes *members;            /* that list: array of FsAgent, or NULL */
