Look for a flow once in each of the two services that take each other for the previous one

What callers see: after a route moves to another service, packets of an open flow reach servers of the other service or nobody, until all agents have the configuration.

Cause: a home asks the previous service about an unknown flow with FORWARD, and an agent that gives the destination to its own service asks the asker in turn. With different configurations at the two, a packet goes back and forth until the hops for the search are used up; the chain that reaches the holder is cut short by that, or by one endpoint that is paused. Later endpoints of a chain asked the other service once more each.

Ruled out: that the flow is not open or its server disrupted (the check no longer counts that).

Why this works: the home id of a chain names the home that asks while the other service searches, and is 0 once both have. A service that is asked searches and returns the packet whatever its own configuration says, and a packet that has been to both is neither asked about nor returned again.

Test: /moved/both-ask fails on the parent.

--- a/flow/wf-moved.c
+++ b/flow/wf-moved.c
@@ -161,6 +161,13 @@
     wf_placement_set_tombstone (agent, flow, handle, home_id);
 }
 
+/* Returns the home in another service that has asked for the flow of a packet here, or 0. */
+static guint64
+asking_home (const WfAgent *agent, guint64 home_id)
+{
+  return wf_moved_endpoint_service (agent, home_id) != agent->service_id ? home_id : 0;
+}
+
 /* Routes a packet of an unknown flow whose destination has moved to another service: a new flow
  * belongs there, and an open one is registered there. Returns FALSE when the packet is to be routed
  * like one of this service: it is looked for here because the other one does not know it. */
@@ -173,6 +180,13 @@
       wf_moved_endpoint_service (agent, received->header.sender_id) != agent->service_id;
   guint64 home_id;
 
+  /* The other service takes this one for the previous one, whatever the configuration here says. */
+  if (!may_open && received->header.kind == WW_ENCAP_FORWARD &&
+      asking_home (agent, received->header.home_id) != 0)
+    {
+      received->header.kind = WW_ENCAP_CHAIN;
+      return FALSE;
+    }
   if (wf_moved_service (agent, &received->key) == agent->service_id)
     return FALSE;
   home_id = wf_moved_home (agent, &received->key, received->header.entry_zone);
@@ -197,12 +211,25 @@
   return TRUE;
 }
 
-/* Returns the home to which a packet goes back that no endpoint of this service knows, because its
- * destination has moved to another service. 0 when there is none. */
+/* Returns the home to which a packet goes back that no endpoint of this service knows: the one in
+ * the service that has its destination now, or else the one that has asked; 0 when there is none.
+ * @chain_home_id is the home that the packet names. It becomes 0 when the packet has then been to
+ * both services, and is not returned again. */
 static guint64
-home_to_return_to (WfAgent *agent, const WwFlowKey *key, guint32 entry_zone)
+home_to_return_to (WfAgent *agent, const WwFlowKey *key, guint32 entry_zone, guint64 *chain_home_id)
 {
-  return key->protocol == WW_PROTOCOL_TCP ? wf_moved_home (agent, key, entry_zone) : 0;
+  guint64 asking_id = asking_home (agent, *chain_home_id);
+  guint64 home_id;
+
+  if (*chain_home_id == 0 || key->protocol != WW_PROTOCOL_TCP)
+    return 0;
+  home_id = wf_moved_home (agent, key, entry_zone);
+  if (home_id == 0)
+    home_id = asking_id;
+  if (asking_id == 0 ||
+      wf_moved_endpoint_service (agent, home_id) == wf_moved_endpoint_service (agent, asking_id))
+    *chain_home_id = 0;
+  return home_id;
 }
 
 /* Whether a packet has visited enough endpoints of this service: the other one, to which its
@@ -210,8 +237,11 @@
 gboolean
 wf_moved_has_searched (WfAgent *agent, const WfReceivedPacket *received)
 {
+  guint64 chain_home_id = received->header.home_id;
+
   return received->header.hops >= SEARCH_HOPS &&
-         home_to_return_to (agent, &received->key, received->header.entry_zone) != 0;
+         home_to_return_to (agent, &received->key, received->header.entry_zone, &chain_home_id) !=
+             0;
 }
 
 /* Returns a packet that no endpoint of this service knows to its home in the service that has its
@@ -219,14 +249,16 @@
 gboolean
 wf_moved_return (WfAgent *agent, const WfReceivedPacket *received)
 {
+  WfReceivedPacket returned = *received;
   guint64 home_id = wf_route_is_initial (received)
                         ? 0
-                        : home_to_return_to (agent, &received->key, received->header.entry_zone);
+                        : home_to_return_to (agent, &received->key, received->header.entry_zone,
+                                             &returned.header.home_id);
 
   if (home_id == 0)
     return FALSE;
   wf_count (agent, WF_COUNTER_FORWARDED_MOVED);
-  wf_route_forward (agent, received, WW_ENCAP_CHAIN, home_id);
+  wf_route_forward (agent, &returned, WW_ENCAP_CHAIN, home_id);
   return TRUE;
 }
 
@@ -234,12 +266,13 @@
 gboolean
 wf_moved_return_queue (WfAgent *agent, WfFlow *flow)
 {
-  guint64 home_id = home_to_return_to (agent, &flow->key, flow->entry_zone);
+  guint64 chain_home_id = flow->peer_id;
+  guint64 home_id = home_to_return_to (agent, &flow->key, flow->entry_zone, &chain_home_id);
 
   if (home_id == 0)
     return FALSE;
   wf_count (agent, WF_COUNTER_FORWARDED_MOVED);
-  wf_route_send_queue (agent, flow, WW_ENCAP_CHAIN, home_id, home_id);
+  wf_route_send_queue (agent, flow, WW_ENCAP_CHAIN, home_id, chain_home_id);
   return TRUE;
 }
 
@@ -269,8 +302,17 @@
   return previous_service (agent, key) != 0;
 }
 
+/* Whether the other service asks for the flow of a packet here, or has returned the packet. */
+static gboolean
+has_been_in_other_service (const WfAgent *agent, const ww_encap *header)
+{
+  return header->kind == WW_ENCAP_CHAIN &&
+         (header->home_id == 0 || asking_home (agent, header->home_id) != 0 ||
+          wf_moved_endpoint_service (agent, header->sender_id) != agent->service_id);
+}
+
 /* Forwards a packet of an unknown flow to its home in the service that had the destination until
- * recently. Returns FALSE when there is no such service, or when it has returned the packet. */
+ * recently. Returns FALSE when there is no such service, or when the packet has been there. */
 gboolean
 wf_moved_to_previous (WfAgent *agent, const WfReceivedPacket *received)
 {
@@ -279,9 +321,7 @@
                            : previous_service (agent, &received->key);
   guint64 home_id;
 
-  if (service_id == 0 ||
-      (received->header.kind == WW_ENCAP_CHAIN &&
-       service_id == wf_moved_endpoint_service (agent, received->header.sender_id)))
+  if (service_id == 0 || has_been_in_other_service (agent, &received->header))
     return FALSE;
   home_id = home_in_service (agent, service_id, &received->key, received->header.entry_zone);
   if (home_id == 0)
--- a/tests/agent-fixture.c
+++ b/tests/agent-fixture.c
@@ -101,6 +101,7 @@
   fixture->now_us = 1000 * WB_US_PER_S;
   fixture->client_port = AF_CLIENT_PORT;
   fixture->sender_id = AF_BALANCER_ID;
+  fixture->home_id = AF_SELF_ID;
   fixture->config_version = AF_CONFIG_VERSION;
   fixture->agent = wf_agent_new (AF_SELF_ID, AF_SERVICE_ID, &callbacks, 1, fixture->now_us);
   return fixture;
@@ -229,7 +230,7 @@
                       .hops = 1,
                       .service_id = AF_SERVICE_ID,
                       .config_version = fixture->config_version,
-                      .home_id = AF_SELF_ID,
+                      .home_id = fixture->home_id,
                       .sender_id = fixture->sender_id };
   g_autoptr (GByteArray) bytes = ww_packet_build_tcp (packet);
   g_autoptr (GByteArray) datagram = g_byte_array_new ();
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -214,6 +214,38 @@
   g_assert_cmpuint (wf_agent_flows_held (fixture->agent), ==, 1);
 }
 
+/* Guards against two services that each take the other for the previous one, because their agents
+ * have different configurations, and pass a packet back and forth instead of looking for its flow.
+ */
+static void
+test_both_ask (void)
+{
+  g_autoptr (AfFixture) fixture = fixture_new ();
+  WwPacket packet = data_packet ();
+
+  af_set_route (fixture, OTHER_SERVICE_ID);
+  af_set_route (fixture, AF_SERVICE_ID);
+  fixture->home_id = OTHER_ENDPOINT_ID;
+  receive (fixture, &packet, WW_ENCAP_FORWARD, OTHER_ENDPOINT_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, 0);
+  g_assert_cmpuint (fixture->server.count, ==, 1);
+
+  /* This service does not hold the flow: the home that has asked goes on with its chain. */
+  af_return_from_server (fixture);
+  g_assert_cmpuint (fixture->peer.count, ==, 1);
+  g_assert_cmpuint (fixture->peer.endpoint_id, ==, OTHER_ENDPOINT_ID);
+  g_assert_cmpint (fixture->peer.header.kind, ==, WW_ENCAP_CHAIN);
+  g_assert_cmpuint (fixture->peer.header.home_id, ==, 0);
+
+  /* A later endpoint of that chain does not ask the other service again. */
+  packet.source_port++;
+  fixture->home_id = 0;
+  receive (fixture, &packet, WW_ENCAP_CHAIN, AF_PEER_ID);
+  g_assert_cmpuint (fixture->server.count, ==, 2);
+  af_return_from_server (fixture);
+  g_assert_cmpuint (fixture->peer.count, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -241,5 +273,6 @@
   g_test_add_func ("/moved/not-probed", test_not_probed);
   g_test_add_func ("/moved/held", test_held);
   g_test_add_func ("/moved/restarted-holder", test_restarted_holder);
+  g_test_add_func ("/moved/both-ask", test_both_ask);
   return g_test_run ();
 }
