Ask the homes for other entry zones before the previous service

What callers see: with zone affinity, for 20 s after a route has moved, packets that enter through another zone than their flow's own reach servers of the previous service, and are lost when one endpoint there is paused.

Ruled out: that the holder has not registered; its own home knows the flow.

Why this works: a flow of the present service is known to one of the homes for the other zones, as many as there are zones less one; what none of them knows goes to the previous service as before.

--- a/flow/wf-moved.c
+++ b/flow/wf-moved.c
@@ -312,22 +312,31 @@
 }
 
 /* Forwards a packet of an unknown flow to its home in the service that had the destination until
- * recently. Returns FALSE when there is no such service, or when the packet has been there. */
+ * recently, after the homes for the other entry zones here, one of which may know the flow. Returns
+ * FALSE when there is no such service, or when the packet has been there. */
 gboolean
 wf_moved_to_previous (WfAgent *agent, const WfReceivedPacket *received)
 {
   guint64 service_id = wf_route_is_initial (received) || received->header.hops >= SEARCH_HOPS
                            ? 0
                            : previous_service (agent, &received->key);
-  guint64 home_id;
+  guint32 entry_zone = received->header.entry_zone;
+  guint64 previous_home_id, next_home_id;
 
   if (service_id == 0 || has_been_in_other_service (agent, &received->header))
     return FALSE;
-  home_id = home_in_service (agent, service_id, &received->key, received->header.entry_zone);
-  if (home_id == 0)
+  previous_home_id = home_in_service (agent, service_id, &received->key, entry_zone);
+  if (previous_home_id == 0)
     return FALSE;
+  next_home_id = entry_zone != 0 ? wf_view_next_home (agent, &received->key, entry_zone) : 0;
+  if (next_home_id != 0)
+    {
+      wf_count (agent, WF_COUNTER_FORWARDED_CHAIN);
+      wf_route_forward (agent, received, WW_ENCAP_CHAIN, next_home_id);
+      return TRUE;
+    }
   wf_count (agent, WF_COUNTER_FORWARDED_MOVED);
-  wf_route_forward (agent, received, WW_ENCAP_FORWARD, home_id);
+  wf_route_forward (agent, received, WW_ENCAP_FORWARD, previous_home_id);
   return TRUE;
 }
 
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -91,6 +91,31 @@
     }
 }
 
+/* Guards against packets of a flow of the present service that enter through another zone, and are
+ * led through the previous service before the homes for the other zones see them. */
+static void
+test_other_zone (void)
+{
+  FsSim *sim = fs_new_in_zones (11, FS_N_ZONES, 16, 10 * S);
+  guint i;
+
+  for (i = 0; i < FS_N_ZONES; i++)
+    (void) fs_start_agent (sim, "b");
+  fs_publish_members (sim, 0);
+  fs_run (sim, 20 * S);
+  fs_publish_config (sim, "b", 16, 10 * S, S / 10);
+  fs_run (sim, 2 * S);
+  add_clients (sim, 24, 6, S);
+  sim->other_zone_probability = 0.5;
+  fs_run (sim, 15 * S);
+  fs_check_finished (sim);
+  g_assert_cmpstr (sim->violations->str, ==, "");
+  g_assert_cmpuint (fs_sum_counter (sim, "flow_forwarded_chain"), >, 0);
+  g_assert_cmpuint (fs_sum_counter (sim, "flow_forwarded_moved"), ==, 0);
+  g_assert_cmpuint (fs_sum_counter (sim, "flow_recovery_probes"), ==, 0);
+  fs_free (sim);
+}
+
 /* An agent with the returning format and one endpoint of another service. */
 
 static void
@@ -270,6 +295,7 @@
   g_test_init (&argc, &argv, NULL);
   for (i = 0; i < G_N_ELEMENTS (scenarios); i++)
     g_test_add_data_func (scenarios[i].path, GUINT_TO_POINTER (scenarios[i].scenario), move);
+  g_test_add_func ("/moved/sim-other-zone", test_other_zone);
   g_test_add_func ("/moved/not-probed", test_not_probed);
   g_test_add_func ("/moved/held", test_held);
   g_test_add_func ("/moved/restarted-holder", test_restarted_holder);
