Do not lead initial packets along a tombstone to a service without the route

What callers see: a route moves and moves back within seconds, while endpoints join; flows are not opened for up to 10 s, and one is then opened at a server whose service no configuration in effect gives it.

Cause: an agent that forwards a deferred initial packet to the service to which its destination has moved leaves a tombstone, which stayed when the route moved back. Only tombstones of deferrals were checked against the configuration.

Ruled out: that such an agent gets the packet from a balancer.

Why this works: an initial packet follows a tombstone only to the service that the configuration chooses. A TO_HOLDER follows an entry of the registry and is no choice of service, so an agent that knows its configuration to be out of date does not accept the flow for it.

--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -334,6 +334,18 @@
          received->header.entry_zone != flow->entry_zone;
 }
 
+/* Whether an initial packet no longer belongs to the service to which its tombstone leads. An agent
+ * that does not know the latest configuration accepts the sender's choice of its own service, but
+ * TO_HOLDER is not one: it follows an entry of the registry. */
+static gboolean
+leads_to_wrong_service (const WfAgent *agent, const WfFlow *flow, const WfReceivedPacket *received)
+{
+  if (received->header.kind == WW_ENCAP_TO_HOLDER && wf_route_config_is_outdated (agent))
+    return FALSE;
+  return wf_moved_endpoint_service (agent, flow->peer_id) !=
+         wf_moved_service (agent, &received->key);
+}
+
 static void
 forward_along_tombstone (WfAgent *agent, WfFlow *flow, WbHandle handle, WfReceivedPacket *received)
 {
@@ -351,7 +363,8 @@
              ((flow->flags & WF_FLAG_DEFERRED) &&
               wf_moved_service (agent, &received->key) != agent->service_id);
   if (initial &&
-      (wf_view_has_departed (agent, peer_id) || ((flow->flags & WF_FLAG_DEFERRED) && placed_here)))
+      (wf_view_has_departed (agent, peer_id) || leads_to_wrong_service (agent, flow, received) ||
+       ((flow->flags & WF_FLAG_DEFERRED) && placed_here)))
     outdated = TRUE;
   if (outdated || is_deferred_in_cycle (flow, received))
     {
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -271,6 +271,33 @@
   g_assert_cmpuint (fixture->peer.count, ==, 1);
 }
 
+/* Guards against initial packets that a tombstone leads to the service that had the destination
+ * before, so that they circle and the flow is opened at a server that must not get it. */
+static void
+test_initial_tombstone (void)
+{
+  g_autoptr (AfFixture) fixture = fixture_new ();
+  WwPacket initial = af_client_packet (WW_TCP_SYN, AF_CLIENT_SEQUENCE, 0, 0);
+  WwPacket retransmission = af_client_packet (WW_TCP_SYN, AF_CLIENT_SEQUENCE, 0, 1);
+
+  af_set_route (fixture, OTHER_SERVICE_ID);
+  receive (fixture, &initial, WW_ENCAP_CHAIN, AF_PEER_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, 1);
+  g_assert_cmpuint (fixture->peer.endpoint_id, ==, OTHER_ENDPOINT_ID);
+
+  /* An entry of the registry in a sender with a newer configuration is not its choice of this
+   * service. */
+  fixture->config_version++;
+  receive (fixture, &retransmission, WW_ENCAP_TO_HOLDER, AF_PEER_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, 2);
+  g_assert_cmpuint (fixture->server.count, ==, 0);
+
+  af_set_route (fixture, AF_SERVICE_ID);
+  receive (fixture, &retransmission, WW_ENCAP_CHAIN, AF_PEER_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, 2);
+  g_assert_cmpuint (fixture->server.count, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -300,5 +327,6 @@
   g_test_add_func ("/moved/held", test_held);
   g_test_add_func ("/moved/restarted-holder", test_restarted_holder);
   g_test_add_func ("/moved/both-ask", test_both_ask);
+  g_test_add_func ("/moved/initial-tombstone", test_initial_tombstone);
   return g_test_run ();
 }
