End a deferral's tombstone when an open flow's packet comes back along it

What callers see: a route moves while endpoints join and one is paused; for up to 10 s some packets of a flow that has been opened in the other service do not reach its server, and reach one of the service before.

Cause: two endpoints in a row have deferred the placement. The last one sends an open flow's packet back to the home, whose tombstone counts as outdated only when the endpoint that it names sends the packet back, so it goes round until the hop limit.

Ruled out: that agent 1 drops it at a chain end.

Why this works: a packet with FORWARD and four hops or more has been along the row and back, and an open flow shows that its placement is over. The search for holders tells so by the same test.

Test: /moved/deferred-tombstone fails on the parent.

--- a/flow/wf-locate.c
+++ b/flow/wf-locate.c
@@ -245,8 +245,8 @@
 
 /* Whether the packet has come back to its home from an agent to which the holder named by the home
  * has sent it on. */
-static gboolean
-has_come_back (const WfReceivedPacket *received)
+gboolean
+wf_locate_has_come_back (const WfReceivedPacket *received)
 {
   return received->header.kind == WW_ENCAP_FORWARD && received->header.hops >= COME_BACK_HOPS;
 }
@@ -263,7 +263,7 @@
     return FALSE;
   if (received->header.kind == WW_ENCAP_TO_HOLDER)
     return !wf_registration_is_new_placement (agent, entry);
-  return has_come_back (received);
+  return wf_locate_has_come_back (received);
 }
 
 /* Searches for the holder of a packet's flow, or leaves that to the home. Returns FALSE when the
@@ -277,7 +277,7 @@
                             .hops = received->header.hops,
                             .sender_id = received->header.sender_id,
                             .entry_zone = received->header.entry_zone,
-                            .come_back = has_come_back (received),
+                            .come_back = wf_locate_has_come_back (received),
                             .data = received->data,
                             .length = received->length };
   gboolean from_server = received->header.sender_id == 0;
--- a/flow/wf-private.h
+++ b/flow/wf-private.h
@@ -411,6 +411,7 @@
 void wf_locate_init (WfAgent *agent);
 void wf_locate_clear (WfAgent *agent);
 gboolean wf_locate_packet (WfAgent *agent, const WfReceivedPacket *received);
+gboolean wf_locate_has_come_back (const WfReceivedPacket *received);
 gboolean wf_locate_ignores_entry (const WfAgent *agent,
                                   const WfReceivedPacket *received,
                                   const WfRegistryEntry *entry);
--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -358,10 +358,11 @@
 
   /* The tombstone is outdated when the peer sends the packet back, has departed, or has placed the
    * flow on this endpoint, or when the flow that the peer was asked to place belongs to another
-   * service now. */
+   * service now, or its packet has come back along the tombstones of further deferrals. */
   outdated = (received->header.sender_id == peer_id && received->header.kind != WW_ENCAP_CHAIN) ||
              ((flow->flags & WF_FLAG_DEFERRED) &&
-              wf_moved_service (agent, &received->key) != agent->service_id);
+              (wf_moved_service (agent, &received->key) != agent->service_id ||
+               (!initial && wf_locate_has_come_back (received))));
   if (initial &&
       (wf_view_has_departed (agent, peer_id) || leads_to_wrong_service (agent, flow, received) ||
        ((flow->flags & WF_FLAG_DEFERRED) && placed_here)))
--- a/tests/agent-fixture.c
+++ b/tests/agent-fixture.c
@@ -102,6 +102,7 @@
   fixture->client_port = AF_CLIENT_PORT;
   fixture->sender_id = AF_BALANCER_ID;
   fixture->home_id = AF_SELF_ID;
+  fixture->hops = 1;
   fixture->config_version = AF_CONFIG_VERSION;
   fixture->agent = wf_agent_new (AF_SELF_ID, AF_SERVICE_ID, &callbacks, 1, fixture->now_us);
   return fixture;
@@ -227,7 +228,7 @@
 af_receive_packet (AfFixture *fixture, const WwPacket *packet, ww_encap_kind kind)
 {
   ww_encap header = { .kind = kind,
-                      .hops = 1,
+                      .hops = fixture->hops,
                       .service_id = AF_SERVICE_ID,
                       .config_version = fixture->config_version,
                       .home_id = fixture->home_id,
--- a/tests/agent-fixture.h
+++ b/tests/agent-fixture.h
@@ -39,6 +39,7 @@
   guint16 client_port; /* to which the server's packets go */
   guint64 sender_id;   /* in the header of the next packets that it receives */
   guint64 home_id;     /* likewise */
+  guint hops;          /* likewise */
   guint64 config_version;
   gint64 now_us;
 } AfFixture;
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -12,6 +12,7 @@
 #define N_AGENTS_OF_A 3
 #define OTHER_SERVICE_ID 8
 #define OTHER_ENDPOINT_ID 31
+#define THIRD_ENDPOINT_ID 3 /* of this service, behind AF_PEER_ID */
 
 /* What happens beside the move of the destination from service "a" to "b". */
 typedef enum
@@ -298,6 +299,37 @@
   g_assert_cmpuint (fixture->server.count, ==, 1);
 }
 
+/* Guards against packets of an open flow that circle along the tombstones of deferred placements:
+ * the last endpoint sends them back to the home, whose tombstone sends them on again. */
+static void
+test_deferred_tombstone (void)
+{
+  g_autoptr (AfFixture) fixture = af_new (TRUE, TRUE);
+  WwPacket initial = af_client_packet (WW_TCP_SYN, AF_CLIENT_SEQUENCE, 0, 1);
+  WwPacket packet = data_packet ();
+  guint forwarded;
+
+  wf_agent_resumed (fixture->agent, fixture->now_us);
+  af_advance (fixture, S);
+  do
+    {
+      initial.source_port++;
+      receive (fixture, &initial, WW_ENCAP_FORWARD, AF_BALANCER_ID);
+    }
+  while (fixture->peer.header.kind != WW_ENCAP_CHAIN);
+
+  packet.source_port = initial.source_port;
+  forwarded = fixture->peer.count;
+  receive (fixture, &packet, WW_ENCAP_FORWARD, AF_BALANCER_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, forwarded + 1);
+  g_assert_cmpint (fixture->peer.header.kind, ==, WW_ENCAP_TO_HOLDER);
+
+  fixture->hops = 4;
+  receive (fixture, &packet, WW_ENCAP_FORWARD, THIRD_ENDPOINT_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, forwarded + 1);
+  g_assert_cmpuint (fixture->server.count, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -328,5 +360,6 @@
   g_test_add_func ("/moved/restarted-holder", test_restarted_holder);
   g_test_add_func ("/moved/both-ask", test_both_ask);
   g_test_add_func ("/moved/initial-tombstone", test_initial_tombstone);
+  g_test_add_func ("/moved/deferred-tombstone", test_deferred_tombstone);
   return g_test_run ();
 }
