Return packets of a wrong entry to its owner in the other service

What callers see: after a route has moved, with a half-open connection of the same flow in the other service, packets of the open flow reach nobody for ten seconds, or servers of the other service.

Cause: an agent that is named as the holder by an entry, and does not hold the flow, sends the packet back to the home. The entry is at the endpoint that sent it, which is not the home when the destination has moved, and stays.

Ruled out: the pause of agent 2, which explains four of the ten seconds.

Why this works: a TO_HOLDER from an endpoint of another service goes back to it, after a probe too; it drops the entry that names the sender, and looks for the flow. Without moves and zones the owner is the home, as before.

Test: /moved/wrong-entry fails on the parent.

--- a/flow/wf-probe.c
+++ b/flow/wf-probe.c
@@ -85,9 +85,10 @@
   flow->hops = (guint8) received->header.hops;
   flow->peer_id = received->header.home_id;
   if (received->header.kind == WW_ENCAP_TO_HOLDER)
-    flow->flags |= WF_FLAG_SENT_TO_HOLDER;
-  if (received->header.kind == WW_ENCAP_TO_HOLDER && flow->entry_zone != 0)
-    flow->peer_id = wf_route_wrong_entry_owner (agent, received);
+    {
+      flow->flags |= WF_FLAG_SENT_TO_HOLDER;
+      flow->peer_id = wf_route_wrong_entry_owner (agent, received);
+    }
   flow->client_next = received->packet.sequence;
   flow->client_ack = received->packet.acknowledgment;
   flow->attempts = 1;
@@ -132,8 +133,6 @@
 static void
 forward_not_held (WfAgent *agent, WfFlow *flow, WbHandle handle)
 {
-  guint64 home_id =
-      flow->entry_zone != 0 ? flow->peer_id : wf_view_home (agent, &flow->key, flow->entry_zone);
   guint64 next_id = wf_view_next (agent, &flow->key, flow->entry_zone);
 
   WW_FLOW_LOG ("flow_absent", &flow->key, WB_NUMBER ("hops", flow->hops));
@@ -141,9 +140,10 @@
                     agent->now_us + (agent->format->returns_packets ? RETURNED_NOT_HELD_LIFETIME_US
                                                                     : NOT_HELD_LIFETIME_US));
   wf_flow_set_state (agent, flow, WF_FLOW_NOT_HELD);
-  if ((flow->flags & WF_FLAG_SENT_TO_HOLDER) && home_id != agent->self_id)
+  if ((flow->flags & WF_FLAG_SENT_TO_HOLDER) && flow->peer_id != agent->self_id)
     {
-      wf_route_send_queue (agent, flow, WW_ENCAP_FORWARD, home_id, home_id);
+      wf_route_send_queue (agent, flow, WW_ENCAP_FORWARD, flow->peer_id,
+                           wf_view_home (agent, &flow->key, flow->entry_zone));
       return;
     }
   if (wf_locate_queue (agent, flow))
--- a/flow/wf-route.c
+++ b/flow/wf-route.c
@@ -120,14 +120,17 @@
 }
 
 /* Returns where a packet goes back to that was sent here as the holder's but belongs to no flow
- * here. The receiver drops its entry that names this endpoint. With an entry zone that is the
- * sender, which need not be the home for that zone. */
+ * here. The receiver drops its entry that names this endpoint. With an entry zone, or from another
+ * service, that is the sender, which need not be the home. */
 guint64
 wf_route_wrong_entry_owner (WfAgent *agent, const WfReceivedPacket *received)
 {
-  if (received->header.kind == WW_ENCAP_TO_HOLDER && received->header.entry_zone != 0 &&
-      wf_view_contains (agent, received->header.sender_id))
-    return received->header.sender_id;
+  guint64 sender_id = received->header.sender_id;
+
+  if (received->header.kind == WW_ENCAP_TO_HOLDER &&
+      ((received->header.entry_zone != 0 && wf_view_contains (agent, sender_id)) ||
+       wf_moved_endpoint_service (agent, sender_id) != agent->service_id))
+    return sender_id;
   return wf_view_home (agent, &received->key, received->header.entry_zone);
 }
 
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -330,6 +330,22 @@
   g_assert_cmpuint (fixture->server.count, ==, 1);
 }
 
+/* Guards against an entry in another service that names the wrong holder and is never corrected,
+ * because the packets go back to the home and not to the endpoint that has the entry. */
+static void
+test_wrong_entry (void)
+{
+  g_autoptr (AfFixture) fixture = fixture_new ();
+  WwPacket packet = data_packet ();
+
+  receive (fixture, &packet, WW_ENCAP_TO_HOLDER, OTHER_ENDPOINT_ID);
+  g_assert_cmpuint (fixture->server.count, ==, 1);
+  af_return_from_server (fixture);
+  g_assert_cmpuint (fixture->peer.count, ==, 1);
+  g_assert_cmpuint (fixture->peer.endpoint_id, ==, OTHER_ENDPOINT_ID);
+  g_assert_cmpint (fixture->peer.header.kind, ==, WW_ENCAP_FORWARD);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -361,5 +377,6 @@
   g_test_add_func ("/moved/both-ask", test_both_ask);
   g_test_add_func ("/moved/initial-tombstone", test_initial_tombstone);
   g_test_add_func ("/moved/deferred-tombstone", test_deferred_tombstone);
+  g_test_add_func ("/moved/wrong-entry", test_wrong_entry);
   return g_test_run ();
 }
