--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -346,6 +346,41 @@
   g_assert_cmpint (fixture->peer.header.kind, ==, WW_ENCAP_FORWARD);
 }
 
+/* Guards against a home in another service that ends a flow after the client has accepted the
+ * SYN-ACK of its server. */
+static void
+test_release_confirmed (void)
+{
+  g_autoptr (AfFixture) fixture = fixture_new ();
+  WwPacket packet = af_client_packet (0, 0, 0, 0);
+  WwFlowKey key = ww_packet_key_from_client (&packet);
+  ww_peer message = { .service_id = AF_SERVICE_ID, .sender_id = OTHER_ENDPOINT_ID };
+  g_autoptr (GByteArray) datagram = g_byte_array_new ();
+
+  af_establish_flow (fixture);
+  message.body.kind = WW_PEER_RELEASE;
+  message.body.ww_peer_body_u.release.flow = ww_flow_key_to_wire (&key);
+  message.body.ww_peer_body_u.release.holder_id = OTHER_ENDPOINT_ID;
+  g_assert_true (ww_peer_encode (&message, datagram));
+  wf_agent_receive (fixture->agent, datagram->data, datagram->len, fixture->now_us);
+  g_assert_cmpuint (wf_agent_flows_held (fixture->agent), ==, 1);
+}
+
+/* Guards against a packet that is forwarded with the version of an older configuration than the
+ * one by which its sender has chosen the service: the receiver would contradict that choice. */
+static void
+test_newest_version (void)
+{
+  g_autoptr (AfFixture) fixture = fixture_new ();
+  WwPacket packet = data_packet ();
+
+  af_set_route (fixture, OTHER_SERVICE_ID);
+  fixture->config_version += 3;
+  receive (fixture, &packet, WW_ENCAP_FORWARD, AF_BALANCER_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, 1);
+  g_assert_cmpuint (fixture->peer.header.config_version, ==, fixture->config_version);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -378,5 +413,7 @@
   g_test_add_func ("/moved/initial-tombstone", test_initial_tombstone);
   g_test_add_func ("/moved/deferred-tombstone", test_deferred_tombstone);
   g_test_add_func ("/moved/wrong-entry", test_wrong_entry);
+  g_test_add_func ("/moved/release-confirmed", test_release_confirmed);
+  g_test_add_func ("/moved/newest-version", test_newest_version);
   return g_test_run ();
 }
