Let a route move between the services in the soak, under flows that stay open

Checked: a request on an open flow gets its response within 4s and runs once, no packets of an open flow reach other servers only, nobody resets it, and new flows are opened at the service that has the route, all while nobody concerned has had an unplanned fault for 4s; 12s of planned work alternate with 6s of all faults.

--- a/soak/sk-client.c
+++ b/soak/sk-client.c
@@ -50,8 +50,20 @@
                   bytes, length);
 }
 
-/* Sends a packet as the routers do: to a random balancer of those that were ready at their last
- * probe, or of all if none was. */
+void
+sk_client_send (const SkPacket *packet)
+{
+  guint choices[SK_BALANCER_COUNT];
+  guint count = 0, i;
+
+  for (i = 0; i < SK_BALANCER_COUNT; i++)
+    if (balancer_ready[i])
+      choices[count++] = i;
+  i = count > 0 ? choices[g_random_int_range (0, (gint32) count)]
+                : (guint) g_random_int_range (0, SK_BALANCER_COUNT);
+  sk_client_send_to_balancer (i, packet);
+}
+
 static void
 send_packet (const Request *request,
              guint8 flags,
@@ -69,15 +81,8 @@
                       .acknowledgment = acknowledgment,
                       .payload = text,
                       .payload_length = text != NULL ? strlen (text) : 0 };
-  guint choices[SK_BALANCER_COUNT];
-  guint count = 0, i;
 
-  for (i = 0; i < SK_BALANCER_COUNT; i++)
-    if (balancer_ready[i])
-      choices[count++] = i;
-  i = count > 0 ? choices[g_random_int_range (0, (gint32) count)]
-                : (guint) g_random_int_range (0, SK_BALANCER_COUNT);
-  sk_client_send_to_balancer (i, &packet);
+  sk_client_send (&packet);
 }
 
 static void
@@ -146,7 +151,8 @@
   SkPacket packet;
   Request *request;
 
-  if (!sk_packet_read (data, length, &packet) || sk_probe_packet (address, &packet))
+  if (!sk_packet_read (data, length, &packet) || sk_moved_packet (address, &packet) ||
+      sk_probe_packet (address, &packet))
     return;
   request = g_hash_table_lookup (requests_by_port, GUINT_TO_POINTER (packet.destination_port));
   if (request == NULL)
--- a/soak/sk-server.c
+++ b/soak/sk-server.c
@@ -20,12 +20,14 @@
 typedef struct
 {
   guint16 port;
-  guint32 sequence; /* initial sequence number of the server */
+  guint16 service_port;
+  guint32 sequence;          /* initial sequence number of the server */
+  guint32 response_sequence; /* of the last response */
   gboolean established;
-  gboolean request_received;
   gint64 response_due_us; /* 0: no response due */
   guint request_number;
   guint32 client_next_sequence;
+  guint32 next_sequence; /* after the last response */
 } Flow;
 
 typedef struct
@@ -99,9 +101,12 @@
   if (flow == NULL)
     {
       sk_evacuation_check_initial (server->index);
+      sk_moved_check_initial (packet->source_port, server->index);
       flow = g_new0 (Flow, 1);
       flow->port = packet->source_port;
+      flow->service_port = packet->destination_port;
       flow->sequence = g_random_int ();
+      flow->next_sequence = flow->sequence + 1;
       flow->client_next_sequence = packet->sequence + 1;
       g_hash_table_insert (server->flows, GUINT_TO_POINTER (packet->source_port), flow);
     }
@@ -109,19 +114,22 @@
                   flow->client_next_sequence, NULL);
 }
 
-/* A request is "GET /NUMBER" in one packet. It runs on first arrival; a retransmission gets the
- * same response again. */
+/* A request is "GET /NUMBER" in one packet. It runs on first arrival; a retransmission of the last
+ * one gets the same response again. */
 static void
 handle_request (Server *server, Flow *flow, const SkPacket *packet)
 {
-  if (!flow->request_received)
+  if (packet->sequence == flow->client_next_sequence)
     {
-      flow->request_received = TRUE;
       flow->request_number =
           (guint) g_ascii_strtoull (packet->payload + strlen ("GET /"), NULL, 10);
       flow->client_next_sequence = packet->sequence + (guint32) packet->payload_length;
       flow->response_due_us = g_get_monotonic_time () + SERVICE_TIME_US;
-      sk_client_check_run (flow->port, flow->request_number, server->index % SK_SERVICE_COUNT);
+      flow->response_sequence = flow->next_sequence;
+      if (flow->service_port == SK_MOVED_PORT)
+        sk_moved_check_run (flow->port, flow->request_number);
+      else
+        sk_client_check_run (flow->port, flow->request_number, server->index % SK_SERVICE_COUNT);
     }
   else if (flow->response_due_us == 0)
     flow->response_due_us = g_get_monotonic_time ();
@@ -144,13 +152,16 @@
       return;
     }
   flow = g_hash_table_lookup (server->flows, GUINT_TO_POINTER (packet.source_port));
+  sk_moved_check_packet (packet.source_port, server->index);
   if (flow == NULL || (!flow->established && packet.acknowledgment != flow->sequence + 1))
     {
       return_packet (server, data, length);
       return;
     }
   flow->established = TRUE;
-  if (packet.payload_length > 0)
+  if (packet.flags & SK_FLAG_RST)
+    g_hash_table_remove (server->flows, GUINT_TO_POINTER (packet.source_port));
+  else if (packet.payload_length > 0)
     handle_request (server, flow, &packet);
 }
 
@@ -160,9 +171,8 @@
   SkPacket request = { .source = SK_CLIENT_ADDRESS,
                        .destination = SK_ROUTE_ADDRESS,
                        .source_port = flow->port,
-                       .destination_port = (guint16) (SK_FIRST_SERVICE_PORT +
-                                                      flow->request_number % SK_SERVICE_COUNT) };
-  guint32 sequence = flow->sequence + 1;
+                       .destination_port = flow->service_port };
+  guint32 sequence = flow->response_sequence;
   guint i;
 
   flow->response_due_us = 0;
@@ -173,6 +183,7 @@
       send_to_client (server, &request, SK_FLAG_ACK, sequence, flow->client_next_sequence, text);
       sequence += (guint32) strlen (text);
     }
+  flow->next_sequence = sequence;
 }
 
 static void
--- a/soak/sk-store.c
+++ b/soak/sk-store.c
@@ -569,6 +569,7 @@
 {
   g_autofree gchar *host = ww_ipv4_format (SK_ROUTE_ADDRESS);
   g_autoptr (GString) text = g_string_new (NULL);
+  guint moved_service = sk_moved_is_on () ? sk_moved_draw_service () : 0;
   guint i;
 
   config_version += 3;
@@ -581,6 +582,12 @@
                             "\"priority\":%u,\"service\":\"service-%u\"}",
                             i > 0 ? "," : "", i, host, SK_FIRST_SERVICE_PORT + i,
                             i % 2 == 0 ? "unsafe" : "safe", i % 3, i % SK_SERVICE_COUNT);
+  if (sk_moved_is_on ())
+    g_string_append_printf (text,
+                            ",{\"name\":\"moved\",\"host\":\"%s\",\"path_prefix\":\"/%u/\","
+                            "\"kind\":\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":200,"
+                            "\"priority\":0,\"service\":\"service-%u\"}",
+                            host, SK_MOVED_PORT, moved_service);
   g_string_append (text, "],\"services\":[");
   for (i = 0; i < SK_SERVICE_COUNT; i++)
     g_string_append_printf (text, "%s{\"name\":\"service-%u\"}", i > 0 ? "," : "", i);
@@ -588,5 +595,7 @@
   g_free (config_text);
   config_text = g_strdup (text->str);
   sk_store_rewrite_config ();
+  if (sk_moved_is_on ())
+    sk_moved_written (moved_service);
   return config_version;
 }
--- a/soak/sk.h
+++ b/soak/sk.h
@@ -29,6 +29,10 @@
 /* Port of service 0 at SK_ROUTE_ADDRESS; service 1 has the next one. */
 #define SK_FIRST_SERVICE_PORT 1000
 
+/* Port of the route that moves between the services, and the first port of its clients. */
+#define SK_MOVED_PORT 900
+#define SK_FIRST_MOVED_CLIENT_PORT 65001
+
 /* Several packets, so that a client notices when part of a response is missing. */
 #define SK_RESPONSE_PACKETS 3
 
@@ -193,6 +197,10 @@
 /** sk_client_send_to_balancer() - sends a packet to one balancer, without a router */
 void sk_client_send_to_balancer (guint balancer, const SkPacket *packet);
 
+/** sk_client_send() - sends a packet as the routers do: to a random balancer of those that were
+ * ready at their last probe, or of all if none was */
+void sk_client_send (const SkPacket *packet);
+
 /** sk_client_take_counts() - requests started and completed since the last call */
 void sk_client_take_counts (guint *started, guint *completed);
 
@@ -205,6 +213,44 @@
  */
 void sk_client_check_run (guint16 client_port, guint number, guint service);
 
+/* sk-moved.c: open flows of a route that moves between the services */
+
+/** sk_moved_open() - lets the route exist and move; without it the other functions do nothing */
+void sk_moved_open (guint32 seed);
+void sk_moved_close (void);
+void sk_moved_tick (gint64 now_us);
+gboolean sk_moved_is_on (void);
+
+/** sk_moved_draw_service() - service that gets the route in the next configuration */
+guint sk_moved_draw_service (void);
+
+/** sk_moved_written() - called when the store has acknowledged that service */
+void sk_moved_written (guint service);
+
+/**
+ * sk_moved_packet() - handles a packet to a client
+ * @address: of its sender
+ *
+ * Return: FALSE if it does not belong to a flow of the moving route
+ */
+gboolean sk_moved_packet (guint32 address, const SkPacket *packet);
+
+/** sk_moved_check_initial() - called when a server gets the initial packet of a new flow */
+void sk_moved_check_initial (guint16 client_port, guint server);
+
+/** sk_moved_check_packet() - called when a server gets a packet of a flow, also one that it returns
+ */
+void sk_moved_check_packet (guint16 client_port, guint server);
+
+/** sk_moved_check_run() - called when a server runs a request; each may run once */
+void sk_moved_check_run (guint16 client_port, guint number);
+
+/** sk_moved_take_counts() - requests started and completed since the last call */
+void sk_moved_take_counts (guint *started, guint *completed);
+
+/** sk_moved_request_total() - requests started since the begin of the run */
+guint64 sk_moved_request_total (void);
+
 /* sk-probe.c: flows that test whether a configuration is in effect in time */
 void sk_probe_open (void);
 void sk_probe_close (void);
--- a/soak/soak-main.c
+++ b/soak/soak-main.c
@@ -37,6 +37,10 @@
 #define SILENCE_CALM_US (7 * WB_US_PER_S)
 #define SILENCES_IN_SERIES 3
 
+/* With moves: a period of planned work only, followed by one with all faults. */
+#define PLANNED_WORK_US (12 * WB_US_PER_S)
+#define PERIOD_US (18 * WB_US_PER_S)
+
 typedef struct
 {
   gboolean is_agent;
@@ -107,6 +111,8 @@
 static guint silence_count;
 static gboolean measuring;
 static gboolean evacuations; /* availability zones are evacuated */
+static gboolean moves;       /* a route moves between the services */
+static gboolean restarts;    /* with moves: agents are restarted too */
 
 guint16
 sk_port_number (SkPortPurpose purpose)
@@ -325,6 +331,29 @@
   store_fault_end_us = g_get_monotonic_time () + random_duration_us (500, 4000);
 }
 
+static gboolean
+ends_agent (Fault fault, const Host *host)
+{
+  return fault == FAULT_KILL_ALL ||
+         (host->is_agent && (fault == FAULT_KILL || fault == FAULT_TERMINATE));
+}
+
+/* Open flows are checked while no host has had an unplanned fault for some time, so that with moves
+ * there are periods of planned work only. */
+static gboolean
+is_planned_work_only (gint64 now_us)
+{
+  gint64 elapsed_us = now_us - soak_start_us - STARTUP_US;
+
+  return elapsed_us % PERIOD_US < PLANNED_WORK_US;
+}
+
+static gboolean
+is_planned_work (Fault fault)
+{
+  return fault == FAULT_CONFIG_CHANGE || fault == FAULT_SERVER_DRAIN || fault == FAULT_HANG_UP;
+}
+
 static void
 inject_fault (void)
 {
@@ -336,6 +365,10 @@
 
   for (fault = 0; draw >= weights[fault]; fault++)
     draw -= weights[fault];
+  if (moves && !restarts && ends_agent ((Fault) fault, host))
+    fault = FAULT_CONFIG_CHANGE;
+  if (moves && is_planned_work_only (g_get_monotonic_time ()) && !is_planned_work ((Fault) fault))
+    return;
   fault_counts[fault]++;
   if (verbose)
     g_print ("%.3f s: %s, %s %u\n",
@@ -486,14 +519,25 @@
     }
 }
 
+static void
+check_served (const gchar *what, guint started, guint completed)
+{
+  if (started == 0 || completed * 100 < started * MIN_SERVED_PERCENT)
+    sk_report_violation ("%u of %u %s were served after the recovery", completed, started, what);
+}
+
 static void
 finish_measurement (void)
 {
   guint started, completed;
 
   sk_client_take_counts (&started, &completed);
-  if (started == 0 || completed * 100 < started * MIN_SERVED_PERCENT)
-    sk_report_violation ("%u of %u requests were served after the recovery", completed, started);
+  check_served ("requests", started, completed);
+  if (moves)
+    {
+      sk_moved_take_counts (&started, &completed);
+      check_served ("requests on open flows", started, completed);
+    }
   g_main_loop_quit (loop);
 }
 
@@ -526,6 +570,7 @@
   detect_stall (now_us);
   sk_server_tick (now_us);
   sk_client_tick (now_us);
+  sk_moved_tick (now_us);
   sk_probe_tick (now_us);
   return_store (now_us);
   silence_store (now_us);
@@ -541,6 +586,7 @@
     {
       measuring = TRUE;
       sk_client_take_counts (&started, &completed);
+      sk_moved_take_counts (&started, &completed);
     }
   if (now_us >= recovery_start_us + RECOVERY_US + MEASURE_US)
     finish_measurement ();
@@ -591,6 +637,8 @@
   next_return_us = next_silence_us = next_fault_us + 2 * WB_US_PER_S;
   faults_end_us = recovery_start_us = next_fault_us + fault_seconds * WB_US_PER_S;
   sk_store_open ();
+  if (moves)
+    sk_moved_open (seed);
   sk_probe_open ();
   sk_probe_config_written (sk_store_set_config (route_count), route_count);
   sk_client_open ();
@@ -626,6 +674,7 @@
     sk_server_close (i);
   sk_client_close ();
   sk_probe_close ();
+  sk_moved_close ();
   sk_evacuation_close ();
   sk_store_close ();
 }
@@ -649,6 +698,10 @@
     connections_fall_silent = TRUE;
   else if (key == 'e')
     evacuations = TRUE;
+  else if (key == 'm')
+    moves = TRUE;
+  else if (key == 'a')
+    restarts = TRUE;
   else
     return ARGP_ERR_UNKNOWN;
   return 0;
@@ -667,6 +720,9 @@
     { "silent-connections", 'c', NULL, 0,
       "Connections to the store become silent, in place of its other faults", 0 },
     { "evacuations", 'e', NULL, 0, "Availability zones are evacuated, one at a time", 0 },
+    { "moves", 'm', NULL, 0,
+      "Configurations move a route between the services, and clients keep flows to it open", 0 },
+    { "agent-restarts", 'a', NULL, 0, "With --moves: agents are killed and stopped too", 0 },
     { "verbose", 'v', NULL, 0, "Prints each fault as it is injected", 0 },
     { 0 }
   };
@@ -690,6 +746,8 @@
     g_print (" store returns %u", return_count);
   if (silence_count > 0)
     g_print (" silent connections %u", silence_count);
+  if (moves)
+    g_print (" requests on open flows %" G_GUINT64_FORMAT, sk_moved_request_total ());
   if (evacuations)
     g_print (" evacuations %u", sk_evacuation_total ());
   g_print ("; machine stalled %u times; logs in %s\n", stall_count, run_directory);
