--- a/flow/wf-moved.c
+++ b/flow/wf-moved.c
@@ -245,7 +245,8 @@
 }
 
 /* Returns a packet that no endpoint of this service knows to its home in the service that has its
- * destination now, which continues the chain. Returns FALSE when there is none. */
+ * destination now, or to the home that has asked; the chain continues there. Returns FALSE when
+ * there is neither. */
 gboolean
 wf_moved_return (WfAgent *agent, const WfReceivedPacket *received)
 {
