Move the oracle of the flow simulation to a file of its own

No change of what is checked: the functions and constants are moved, and check_delivery() becomes fs_check_delivery().

--- a/tests/flow-sim-private.h
+++ b/tests/flow-sim-private.h
@@ -2,8 +2,8 @@
 
 #include "flow-sim.h"
 
-/* Shared by the event loop (flow-sim.c) and the clients and backend servers (flow-sim-traffic.c).
- */
+/* Shared by the event loop (flow-sim.c), the clients and backend servers (flow-sim-traffic.c) and
+ * the oracle (flow-sim-oracle.c). */
 
 /* What an event carries to its target: a packet, a member list or a configuration version. The
  * packets come first, so that a comparison with FS_EVENT_AGENT_MEMBERS selects them. */
@@ -34,6 +34,9 @@
                   const guint8 *data,
                   gsize length,
                   gint64 latency_us);
+
+/** fs_check_delivery() - checks a packet that an agent delivers to its server */
+void fs_check_delivery (FsSim *sim, guint index, const WwPacket *packet);
 void fs_add_violation (FsSim *sim, const gchar *format, ...);
 void fs_connection_free (gpointer data);
 
