--- a/soak/sk-moved.c
+++ b/soak/sk-moved.c
@@ -17,6 +17,7 @@
 #define RETRY_INTERVAL_US (200 * WB_US_PER_MS)
 #define INITIAL_SENDS_MAX 3
 #define OPEN_TIMEOUT_US (1400 * WB_US_PER_MS)
+/* The users' stability window: who has had no fault in it now has had none since the request. */
 #define RESPONSE_TIMEOUT_US (4 * WB_US_PER_S)
 #define FIRST_PORT SK_FIRST_MOVED_CLIENT_PORT
 #define LAST_PORT 65500
--- a/tests/test-moved.c
+++ b/tests/test-moved.c
@@ -381,6 +381,25 @@
   g_assert_cmpuint (fixture->peer.header.config_version, ==, fixture->config_version);
 }
 
+/* Guards against the same when the server has a half-open connection of the flow: the packet is of
+ * another connection. */
+static void
+test_wrong_entry_half_open (void)
+{
+  g_autoptr (AfFixture) fixture = fixture_new ();
+  WwPacket initial = af_client_packet (WW_TCP_SYN, AF_CLIENT_SEQUENCE, 0, 0);
+  WwPacket packet = data_packet ();
+
+  receive (fixture, &initial, WW_ENCAP_PLACE, AF_PEER_ID);
+  af_send_from_server (fixture, WW_TCP_SYN | WW_TCP_ACK, AF_SERVER_SEQUENCE,
+                       AF_CLIENT_SEQUENCE + 1);
+  packet.acknowledgment += 1000;
+  receive (fixture, &packet, WW_ENCAP_TO_HOLDER, OTHER_ENDPOINT_ID);
+  g_assert_cmpuint (fixture->peer.count, ==, 1);
+  g_assert_cmpuint (fixture->peer.endpoint_id, ==, OTHER_ENDPOINT_ID);
+  g_assert_cmpint (fixture->peer.header.kind, ==, WW_ENCAP_FORWARD);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -413,6 +432,7 @@
   g_test_add_func ("/moved/initial-tombstone", test_initial_tombstone);
   g_test_add_func ("/moved/deferred-tombstone", test_deferred_tombstone);
   g_test_add_func ("/moved/wrong-entry", test_wrong_entry);
+  g_test_add_func ("/moved/wrong-entry-half-open", test_wrong_entry_half_open);
   g_test_add_func ("/moved/release-confirmed", test_release_confirmed);
   g_test_add_func ("/moved/newest-version", test_newest_version);
   return g_test_run ();
