--- a/tests/flow-sim-oracle.c
+++ b/tests/flow-sim-oracle.c
@@ -9,8 +9,8 @@
 #define STRAYS_MIN 3
 #define STRAYS_TIME_US (2 * WB_US_PER_S)
 
-/* A flow does not count as misrouted for this time after an unplanned disruption of its server or of
- * the agent beside that. */
+/* A flow does not count as misrouted for this time after an unplanned disruption of its server or
+ * of the agent beside that. */
 #define STABILITY_TIME_US (4 * WB_US_PER_S)
 
 /* Longer than a packet takes along all endpoints, and shorter than a client takes to send it again.
